--- /dev/null
+++ b/internal/base/clock/clock.go
@@ -0,0 +1,127 @@
+// Package clock is the only source of time in this program. Points in time and
+// lengths of time are whole milliseconds.
+//
+// Decision code never reads a clock itself: it is given a reading. Code at the
+// edge holds a Clock, which is the system's in production and a Manual one in
+// tests and in the benchmark.
+//
+// # Usage
+//
+//	c := clock.System()
+//	start := c.Now()
+//	<-c.After(250)
+//	took := c.Now() - start // about 250
+//
+//	m := clock.NewManual(1_000)
+//	m.Advance(50) // m.Clock().Now() is 1050
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Millis is a point in monotonic time or a length of time, in milliseconds.
+type Millis int64
+
+// Second and Minute are lengths of time in milliseconds.
+const (
+	Second Millis = 1_000
+	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
+)
+
+// Duration converts a length of time for the standard library.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Of converts a length of time from the standard library, rounding down.
+func Of(d time.Duration) Millis {
+	return Millis(d / time.Millisecond)
+}
+
+// Clock reads monotonic and wall time and waits. The zero Clock is not usable:
+// take System or Manual.Clock.
+type Clock struct {
+	// Now is monotonic: it never steps back and is comparable only within one
+	// process.
+	Now func() Millis
+	// Wall is Unix time, for records that several processes read.
+	Wall func() Millis
+	// After closes the returned channel once the length of time has passed.
+	After func(Millis) <-chan struct{}
+}
+
+// System returns the machine's clock. Now counts from the call.
+func System() Clock {
+	start := time.Now()
+	return Clock{
+		Now:   func() Millis { return Of(time.Since(start)) },
+		Wall:  func() Millis { return Millis(time.Now().UnixMilli()) },
+		After: systemAfter,
+	}
+}
+
+func systemAfter(m Millis) <-chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(m.Duration(), func() { close(done) })
+	return done
+}
+
+// Manual is a clock that stands still until Advance is called. It is safe for
+// concurrent use.
+type Manual struct {
+	mu    sync.Mutex
+	now   Millis
+	waits []manualWait
+}
+
+type manualWait struct {
+	at   Millis
+	done chan struct{}
+}
+
+// NewManual returns a Manual clock that reads start.
+func NewManual(start Millis) *Manual {
+	return &Manual{now: start}
+}
+
+// Clock returns the Clock that reads m.
+func (m *Manual) Clock() Clock {
+	return Clock{Now: m.read, Wall: m.read, After: m.after}
+}
+
+// Advance moves the clock on and releases the waits that have ended.
+func (m *Manual) Advance(by Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now += by
+	left := m.waits[:0]
+	for _, w := range m.waits {
+		if w.at > m.now {
+			left = append(left, w)
+			continue
+		}
+		close(w.done)
+	}
+	m.waits = left
+}
+
+func (m *Manual) read() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+func (m *Manual) after(by Millis) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	done := make(chan struct{})
+	if by <= 0 {
+		close(done)
+		return done
+	}
+	m.waits = append(m.waits, manualWait{at: m.now + by, done: done})
+	return done
+}
--- /dev/null
+++ b/internal/base/count/count.go
@@ -0,0 +1,124 @@
+// Package count holds the program's counters and gauges on top of go-metrics
+// and writes them as Prometheus text.
+//
+// A name carries its labels, so that each refusal and retry reason has a
+// counter of its own.
+//
+// # Usage
+//
+//	s := count.NewSet()
+//	s.Add("siskinsaddle_refused_total", 1, count.Label{Key: "reason", Value: "WrongKey"})
+//	s.Set("siskinsaddle_open_requests", 12)
+//	s.WritePrometheus(w)
+package count
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Label is one label of a counter or gauge.
+type Label struct {
+	Key   string
+	Value string
+}
+
+// Set is a group of counters and gauges. It is safe for concurrent use.
+type Set struct {
+	registry metrics.Registry
+}
+
+// NewSet returns an empty Set.
+func NewSet() *Set {
+	return &Set{registry: metrics.NewRegistry()}
+}
+
+// Add adds to a counter, which is made at first use.
+func (s *Set) Add(name string, by int64, labels ...Label) {
+	metrics.GetOrRegisterCounter(full(name, labels), s.registry).Inc(by)
+}
+
+// Count returns a counter's value, 0 if it was never added to.
+func (s *Set) Count(name string, labels ...Label) int64 {
+	c, ok := s.registry.Get(full(name, labels)).(metrics.Counter)
+	if !ok {
+		return 0
+	}
+	return c.Count()
+}
+
+// Set sets a gauge, which is made at first use.
+func (s *Set) Set(name string, to int64, labels ...Label) {
+	metrics.GetOrRegisterGauge(full(name, labels), s.registry).Update(to)
+}
+
+// Gauge returns a gauge's value, 0 if it was never set.
+func (s *Set) Gauge(name string, labels ...Label) int64 {
+	g, ok := s.registry.Get(full(name, labels)).(metrics.Gauge)
+	if !ok {
+		return 0
+	}
+	return g.Value()
+}
+
+// full writes the name with its labels in the order given, as Prometheus does:
+// refused_total{reason="WrongKey",class="urgent"}.
+func full(name string, labels []Label) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i, l := range labels {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", l.Key, l.Value)
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+type sample struct {
+	name  string
+	kind  string
+	value int64
+}
+
+// WritePrometheus writes every counter and gauge in the Prometheus text
+// format, sorted by name, with one TYPE line for each family.
+func (s *Set) WritePrometheus(w io.Writer) error {
+	last := ""
+	for _, p := range s.samples() {
+		family, _, _ := strings.Cut(p.name, "{")
+		if family != last {
+			if _, err := fmt.Fprintf(w, "# TYPE %s %s\n", family, p.kind); err != nil {
+				return err
+			}
+			last = family
+		}
+		if _, err := fmt.Fprintf(w, "%s %d\n", p.name, p.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Set) samples() []sample {
+	var all []sample
+	s.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			all = append(all, sample{name: name, kind: "counter", value: m.Count()})
+		case metrics.Gauge:
+			all = append(all, sample{name: name, kind: "gauge", value: m.Value()})
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
--- /dev/null
+++ b/internal/base/logs/logs.go
@@ -0,0 +1,58 @@
+// Package logs makes the loggers of the program's parts. Each part has a fixed
+// prefix, by which operators filter: "entry", "keeper", "manifest", and so on.
+//
+// # Usage
+//
+//	l := logs.New(os.Stderr, logs.LevelInfo)
+//	keeper := l.WithPrefix("keeper")
+//	keeper.Info("Took over a group.", "group", "canvas-llm/prairie-a/0")
+package logs
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Level is how much is logged.
+type Level string
+
+// The levels, from most to least.
+const (
+	LevelDebug Level = "Debug"
+	LevelInfo  Level = "Info"
+	LevelWarn  Level = "Warn"
+	LevelError Level = "Error"
+)
+
+// Valid tells whether the level is one of the named ones.
+func (l Level) Valid() bool {
+	_, ok := levels[l]
+	return ok
+}
+
+var levels = map[Level]log.Level{
+	LevelDebug: log.DebugLevel,
+	LevelInfo:  log.InfoLevel,
+	LevelWarn:  log.WarnLevel,
+	LevelError: log.ErrorLevel,
+}
+
+// New returns a logger that writes to w. An unknown level logs as Info.
+func New(w io.Writer, level Level) *log.Logger {
+	at, ok := levels[level]
+	if !ok {
+		at = log.InfoLevel
+	}
+	return log.NewWithOptions(w, log.Options{
+		Level:           at,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339,
+	})
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *log.Logger {
+	return New(io.Discard, LevelError)
+}
--- /dev/null
+++ b/internal/plat/object/object.go
@@ -0,0 +1,77 @@
+// Package object is the platform's object store as this program uses it: large
+// bodies that never change, each named by the SHA-256 of its content.
+//
+// # Usage
+//
+//	s := object.NewMemory()
+//	name := object.Name(body)
+//	err := s.Put(ctx, name, body) // writing a body twice does no harm
+//	body, err = s.Get(ctx, name)  // ErrAbsent, or ErrDamaged on a wrong hash
+package object
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The errors of a Store.
+var (
+	ErrAbsent      = errors.New("the object does not exist")
+	ErrDamaged     = errors.New("the object's content does not match its name")
+	ErrUnavailable = errors.New("the object store is not reachable")
+)
+
+// Store is an object store.
+type Store struct {
+	Put    func(ctx context.Context, name string, body []byte) error
+	Get    func(ctx context.Context, name string) ([]byte, error)
+	Delete func(ctx context.Context, name string) error
+}
+
+// Name returns the name of a body: its SHA-256 in hexadecimal.
+func Name(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+type memory struct {
+	mu     sync.Mutex
+	bodies map[string][]byte
+}
+
+// NewMemory returns a Store that keeps its bodies in the process.
+func NewMemory() Store {
+	m := &memory{bodies: map[string][]byte{}}
+	return Store{Put: m.put, Get: m.get, Delete: m.remove}
+}
+
+func (m *memory) put(_ context.Context, name string, body []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bodies[name] = append([]byte(nil), body...)
+	return nil
+}
+
+func (m *memory) get(_ context.Context, name string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	body, ok := m.bodies[name]
+	if !ok {
+		return nil, ErrAbsent
+	}
+	if Name(body) != name {
+		return nil, ErrDamaged
+	}
+	return append([]byte(nil), body...), nil
+}
+
+func (m *memory) remove(_ context.Context, name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.bodies, name)
+	return nil
+}
--- /dev/null
+++ b/internal/policy/sched/sched.go
@@ -0,0 +1,3 @@
+// Package sched decides which waiting request of a group of backend servers
+// runs next, and where.
+package sched
