--- /dev/null
+++ b/internal/fakes/engine/answer.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/fakes/batch"
+	"siskinsaddle/internal/fakes/front"
+)
+
+// Names of the headers that the engine reads and writes.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderPriority     = "X-Priority"
+	HeaderResumeOffset = "X-Resume-Offset"
+	HeaderFencing      = "X-Fencing-Number"
+	HeaderLeaving      = "X-Leaving"
+)
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Prompt    string    `json:"prompt"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of max_tokens.
+	MaxCompletionTokens int `json:"max_completion_tokens"`
+	// Tokens sets the length of the answer.
+	Tokens int `json:"x_tokens"`
+}
+
+func (c completion) text() Text {
+	var b strings.Builder
+	b.WriteString(c.Prompt)
+	for _, m := range c.Messages {
+		b.WriteString(m.Role)
+		b.WriteByte('\n')
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return Text{Model: c.Model, Prompt: b.String()}
+}
+
+// length returns the answer's tokens and its finish reason.
+func (c completion) length(t Text) (tokens int, finish string) {
+	tokens = c.Tokens
+	if tokens <= 0 {
+		tokens = t.DefaultTokens()
+	}
+	limit := c.MaxTokens
+	if limit == 0 {
+		limit = c.MaxCompletionTokens
+	}
+	if limit > 0 && limit < tokens {
+		return limit, "length"
+	}
+	return tokens, "stop"
+}
+
+// answer is one request on its way back to the caller.
+type answer struct {
+	engine *Engine
+	call   *call
+	conn   *front.Conn
+	text   Text
+	form   form
+	tokens int
+	finish string
+	offset int
+}
+
+func (e *Engine) complete(ctx *fasthttp.RequestCtx) {
+	f := e.Faults()
+	if f.Leaving {
+		ctx.Response.Header.Set(HeaderLeaving, "true")
+		refuse(ctx, fasthttp.StatusServiceUnavailable, "leaving", "this engine is leaving")
+		return
+	}
+	var c completion
+	if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "bad_json", err.Error())
+		return
+	}
+	if !e.serves(c.Model) {
+		refuse(ctx, fasthttp.StatusNotFound, "model_not_found", "model "+c.Model+" is not loaded")
+		return
+	}
+	a := e.newAnswer(ctx, c)
+	if f.LateMilliseconds > 0 {
+		<-e.Clock.After(f.LateMilliseconds)
+	}
+	if f.CrossAnswers {
+		ctx.Response.Header.Set(HeaderRequestID, e.swapLast(a.call.id))
+	}
+	if c.Stream {
+		a.stream(ctx)
+		return
+	}
+	a.whole(ctx)
+}
+
+func (e *Engine) newAnswer(ctx *fasthttp.RequestCtx, c completion) *answer {
+	text := c.text()
+	tokens, finish := c.length(text)
+	offset := min(number(ctx.Request.Header.Peek(HeaderResumeOffset)), tokens)
+	id := string(ctx.Request.Header.Peek(HeaderRequestID))
+	if id == "" {
+		id = e.newID()
+	}
+	ctx.Response.Header.Set(HeaderRequestID, id)
+	prefix, prefixTokens := text.Prefix()
+	job := batch.Job{
+		ID:           id,
+		Priority:     number(ctx.Request.Header.Peek(HeaderPriority)),
+		PromptTokens: text.PromptTokens(),
+		OutputTokens: tokens,
+		Offset:       offset,
+		Prefix:       prefix,
+		PrefixTokens: prefixTokens,
+	}
+	return &answer{
+		engine: e,
+		call:   e.submit(job),
+		conn:   front.Of(ctx),
+		text:   text,
+		form:   formFor(string(ctx.Path()), id, c.Model),
+		tokens: tokens,
+		finish: finish,
+		offset: offset,
+	}
+}
+
+// next waits for the next token. It returns false once the caller has gone,
+// the request was cancelled or the engine crashed.
+func (a *answer) next() (batch.TokenOut, bool) {
+	select {
+	case t, ok := <-a.call.tokens:
+		return t, ok
+	case <-a.call.lost:
+	case <-a.conn.Gone():
+		a.engine.cancelCall(a.call)
+	}
+	return batch.TokenOut{}, false
+}
+
+// stream writes one event for each token as it is made.
+func (a *answer) stream(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		if !a.writeEvents(w) {
+			a.engine.cancelCall(a.call)
+			a.conn.Reset()
+		}
+	})
+}
+
+// writeEvents returns false where the stream ends before its last token.
+func (a *answer) writeEvents(w *bufio.Writer) bool {
+	for at := a.offset; at < a.tokens; at++ {
+		t, ok := a.next()
+		if !ok || !writeEvent(w, a.form.token(a.text.Word(t.Index))) {
+			return false
+		}
+	}
+	if !writeEvent(w, a.form.end(a.finish, a.usage())) {
+		return false
+	}
+	a.engine.noteAnswered()
+	_, err := w.WriteString("data: [DONE]\n\n")
+	return err == nil && w.Flush() == nil
+}
+
+func writeEvent(w *bufio.Writer, event any) bool {
+	text, err := json.Marshal(event)
+	if err != nil {
+		return false
+	}
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(text)
+	_, _ = w.WriteString("\n\n")
+	return w.Flush() == nil // reports the earlier writes' errors as well
+}
+
+// whole answers once the last token is made.
+func (a *answer) whole(ctx *fasthttp.RequestCtx) {
+	for at := a.offset; at < a.tokens; at++ {
+		if _, ok := a.next(); !ok {
+			a.conn.Reset()
+			return
+		}
+	}
+	a.engine.noteAnswered()
+	reply(ctx, a.form.whole(a.text.Words(a.tokens), a.finish, a.usage()))
+}
+
+func (a *answer) usage() usage {
+	prompt := a.text.PromptTokens()
+	return usage{PromptTokens: prompt, CompletionTokens: a.tokens, TotalTokens: prompt + a.tokens}
+}
+
+func (e *Engine) noteAnswered() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Answered++
+}
+
+// swapLast returns the id of the request before this one.
+func (e *Engine) swapLast(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := e.last
+	e.last = id
+	return last
+}
--- /dev/null
+++ b/internal/fakes/engine/http.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/fakes/front"
+)
+
+type route struct {
+	method string
+	path   string
+	handle func(e *Engine, ctx *fasthttp.RequestCtx)
+}
+
+var routes = []route{
+	{"POST", "/v1/chat/completions", (*Engine).complete},
+	{"POST", "/v1/completions", (*Engine).complete},
+	{"GET", "/v1/models", (*Engine).listModels},
+	{"GET", "/load", (*Engine).getLoad},
+	{"GET", "/cache/events", (*Engine).getCacheEvents},
+	{"GET", "/state", (*Engine).getState},
+	{"GET", "/counts", (*Engine).getCounts},
+	{"POST", "/orders", (*Engine).postOrder},
+	{"GET", "/faults", (*Engine).getFaults},
+	{"POST", "/faults", (*Engine).postFaults},
+}
+
+const requestsPath = "/v1/requests/"
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if id, ok := strings.CutPrefix(path, requestsPath); ok && ctx.IsDelete() {
+		e.deleteRequest(ctx, id)
+		return
+	}
+	for _, r := range routes {
+		if r.path == path && r.method == string(ctx.Method()) {
+			r.handle(e, ctx)
+			return
+		}
+	}
+	refuse(ctx, fasthttp.StatusNotFound, "not_found", "no such path")
+}
+
+func reply(ctx *fasthttp.RequestCtx, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	front.WriteJSON(ctx, fasthttp.StatusOK, text)
+}
+
+type failure struct {
+	Error failureBody `json:"error"`
+}
+
+type failureBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func refuse(ctx *fasthttp.RequestCtx, status int, code, message string) {
+	reply(ctx, failure{Error: failureBody{Message: message, Type: "invalid_request_error", Code: code}})
+	ctx.SetStatusCode(status)
+}
+
+func (e *Engine) deleteRequest(ctx *fasthttp.RequestCtx, id string) {
+	if !e.cancel(id) {
+		refuse(ctx, fasthttp.StatusNotFound, "unknown_request", "no such request")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Engine) listModels(ctx *fasthttp.RequestCtx) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range e.State().Models {
+		list.Data = append(list.Data, modelItem{ID: m.Name, Object: "model", OwnedBy: e.Name})
+	}
+	reply(ctx, list)
+}
+
+func (e *Engine) getLoad(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	load := e.batch.Load(e.Clock.Now())
+	e.mu.Unlock()
+	reply(ctx, load)
+}
+
+func (e *Engine) getState(ctx *fasthttp.RequestCtx) { reply(ctx, e.State()) }
+
+func (e *Engine) getCounts(ctx *fasthttp.RequestCtx) { reply(ctx, e.Counts()) }
+
+func (e *Engine) getFaults(ctx *fasthttp.RequestCtx) { reply(ctx, e.Faults()) }
+
+func (e *Engine) postFaults(ctx *fasthttp.RequestCtx) {
+	f := e.Faults()
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		refuse(ctx, fasthttp.StatusBadRequest, "bad_json", err.Error())
+		return
+	}
+	reply(ctx, f)
+	e.SetFaults(f)
+}
+
+// number reads a header or query value, 0 if it is missing or wrong.
+func number(text []byte) int {
+	n, err := strconv.Atoi(string(text))
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fakes/plain/http.go
@@ -0,0 +1,178 @@
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/fakes/front"
+)
+
+// Names of the headers that the service reads and writes.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderFencing = "X-Fencing-Number"
+	HeaderRequest = "X-Request-Id"
+	HeaderLeaving = "X-Leaving"
+)
+
+type route struct {
+	method string
+	path   string
+	handle func(s *Service, ctx *fasthttp.RequestCtx)
+}
+
+var routes = []route{
+	{"POST", "/bookings", (*Service).book},
+	{"GET", "/bookings/lookup", (*Service).lookUp},
+	{"GET", "/counts", (*Service).getCounts},
+	{"GET", "/faults", (*Service).getFaults},
+	{"POST", "/faults", (*Service).postFaults},
+}
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	if id := ctx.Request.Header.Peek(HeaderRequest); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(HeaderRequest, id)
+	}
+	for _, r := range routes {
+		if r.path == string(ctx.Path()) && r.method == string(ctx.Method()) {
+			r.handle(s, ctx)
+			return
+		}
+	}
+	s.call(ctx, s.echo)
+}
+
+// Refusal is the body of a refused call.
+type Refusal struct {
+	Reason string
+}
+
+// Echo is the answer of a path that the service does not know.
+type Echo struct {
+	Server string
+	Method string
+	Path   string
+	Body   string
+}
+
+func reply(ctx *fasthttp.RequestCtx, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	front.WriteJSON(ctx, status, text)
+}
+
+// call runs work between the points at which the connection can be dropped.
+func (s *Service) call(ctx *fasthttp.RequestCtx, work func(ctx *fasthttp.RequestCtx)) {
+	f := s.Faults()
+	if f.Leaving {
+		ctx.Response.Header.Set(HeaderLeaving, "true")
+		reply(ctx, fasthttp.StatusServiceUnavailable, Refusal{Reason: "Leaving"})
+		return
+	}
+	at := s.takeDrop()
+	if at == DropBeforeRequest || at == DropDuringRequest {
+		dropRequest(ctx, at)
+		return
+	}
+	if f.SlowMilliseconds > 0 {
+		<-s.Clock.After(f.SlowMilliseconds)
+	}
+	work(ctx)
+	if f.SlowAnswerMilliseconds > 0 {
+		<-s.Clock.After(f.SlowAnswerMilliseconds)
+	}
+	dropAnswer(ctx, at)
+}
+
+// dropAnswer drops the connection at the points after the call has run.
+func dropAnswer(ctx *fasthttp.RequestCtx, at DropPoint) {
+	switch at {
+	case DropAfterRequest:
+		front.Of(ctx).Reset()
+	case DropDuringResponse:
+		dropMidway(ctx)
+	case DropAfterResponse:
+		ctx.SetConnectionClose()
+	default:
+	}
+}
+
+// dropMidway announces the whole answer, writes its first half and closes.
+func dropMidway(ctx *fasthttp.RequestCtx) {
+	whole := ctx.Response.Body()
+	ctx.Response.Header.SetContentLength(len(whole))
+	c := front.Of(ctx)
+	_, _ = c.Write(ctx.Response.Header.Header())
+	_, _ = c.Write(whole[:len(whole)/2])
+	_ = c.Close()
+}
+
+// dropRequest reads half of the request's body, or none, and drops.
+func dropRequest(ctx *fasthttp.RequestCtx, at DropPoint) {
+	if at == DropDuringRequest {
+		half := int64(ctx.Request.Header.ContentLength() / 2)
+		_, _ = io.CopyN(io.Discard, ctx.RequestBodyStream(), half)
+	}
+	front.Of(ctx).Reset()
+}
+
+func fence(ctx *fasthttp.RequestCtx) uint64 {
+	n, err := strconv.ParseUint(string(ctx.Request.Header.Peek(HeaderFencing)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (s *Service) book(ctx *fasthttp.RequestCtx) {
+	s.call(ctx, func(ctx *fasthttp.RequestCtx) {
+		key := string(ctx.Request.Header.Peek(HeaderKey))
+		o, ok := s.Book.run(key, s.Name, fence(ctx), s.Faults().ChecksFencing)
+		if !ok {
+			reply(ctx, fasthttp.StatusConflict, Refusal{Reason: "StaleFence"})
+			return
+		}
+		reply(ctx, fasthttp.StatusOK, o)
+	})
+}
+
+func (s *Service) lookUp(ctx *fasthttp.RequestCtx) {
+	s.call(ctx, func(ctx *fasthttp.RequestCtx) {
+		key := string(ctx.QueryArgs().Peek("key"))
+		reply(ctx, fasthttp.StatusOK, s.Book.lookUp(key, fence(ctx)))
+	})
+}
+
+func (s *Service) echo(ctx *fasthttp.RequestCtx) {
+	e := Echo{
+		Server: s.Name,
+		Method: string(ctx.Method()),
+		Path:   string(ctx.RequestURI()),
+		Body:   string(ctx.PostBody()),
+	}
+	reply(ctx, fasthttp.StatusOK, e)
+}
+
+func (s *Service) getCounts(ctx *fasthttp.RequestCtx) {
+	reply(ctx, fasthttp.StatusOK, s.Runs())
+}
+
+func (s *Service) getFaults(ctx *fasthttp.RequestCtx) {
+	reply(ctx, fasthttp.StatusOK, s.Faults())
+}
+
+func (s *Service) postFaults(ctx *fasthttp.RequestCtx) {
+	f := s.Faults()
+	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+		reply(ctx, fasthttp.StatusBadRequest, Refusal{Reason: err.Error()})
+		return
+	}
+	reply(ctx, fasthttp.StatusOK, f)
+	s.SetFaults(f)
+}
