--- a/internal/fakes/cloud/cloud.go
+++ b/internal/fakes/cloud/cloud.go
@@ -30,8 +30,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/front"
 	"siskinsaddle/internal/plat/roll"
@@ -137,6 +140,16 @@
 	c.faults = f
 }
 
+// PatchFaults reads faults from JSON; fields that are left out stay.
+func (c *Cloud) PatchFaults(text []byte) error {
+	f := c.Faults()
+	if err := json.Unmarshal(text, &f); err != nil {
+		return errors.Wrap(err, "faults of the platform")
+	}
+	c.SetFaults(f)
+	return nil
+}
+
 // Counts returns the totals so far.
 func (c *Cloud) Counts() Counts {
 	c.mu.Lock()
--- a/internal/fakes/cloud/http.go
+++ b/internal/fakes/cloud/http.go
@@ -118,11 +118,9 @@
 func (c *Cloud) getFaults(ctx *fasthttp.RequestCtx) { reply(ctx, fasthttp.StatusOK, c.Faults()) }
 
 func (c *Cloud) postFaults(ctx *fasthttp.RequestCtx) {
-	f := c.Faults()
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+	if err := c.PatchFaults(ctx.PostBody()); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	reply(ctx, fasthttp.StatusOK, f)
-	c.SetFaults(f)
+	reply(ctx, fasthttp.StatusOK, c.Faults())
 }
--- a/internal/fakes/engine/faults.go
+++ b/internal/fakes/engine/faults.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
@@ -59,6 +62,16 @@
 	}
 }
 
+// PatchFaults reads faults from JSON; fields that are left out stay.
+func (e *Engine) PatchFaults(text []byte) error {
+	f := e.Faults()
+	if err := json.Unmarshal(text, &f); err != nil {
+		return errors.Wrapf(err, "faults of %s", e.Name)
+	}
+	e.SetFaults(f)
+	return nil
+}
+
 type cacheEvents struct {
 	Events []batch.CacheEvent
 }
--- a/internal/fakes/engine/http.go
+++ b/internal/fakes/engine/http.go
@@ -111,13 +111,11 @@
 func (e *Engine) getFaults(ctx *fasthttp.RequestCtx) { reply(ctx, e.Faults()) }
 
 func (e *Engine) postFaults(ctx *fasthttp.RequestCtx) {
-	f := e.Faults()
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+	if err := e.PatchFaults(ctx.PostBody()); err != nil {
 		refuse(ctx, fasthttp.StatusBadRequest, "bad_json", err.Error())
 		return
 	}
-	reply(ctx, f)
-	e.SetFaults(f)
+	reply(ctx, e.Faults())
 }
 
 // number reads a header or query value, 0 if it is missing or wrong.
--- a/internal/fakes/plain/http.go
+++ b/internal/fakes/plain/http.go
@@ -168,11 +168,9 @@
 }
 
 func (s *Service) postFaults(ctx *fasthttp.RequestCtx) {
-	f := s.Faults()
-	if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
+	if err := s.PatchFaults(ctx.PostBody()); err != nil {
 		reply(ctx, fasthttp.StatusBadRequest, Refusal{Reason: err.Error()})
 		return
 	}
-	reply(ctx, fasthttp.StatusOK, f)
-	s.SetFaults(f)
+	reply(ctx, fasthttp.StatusOK, s.Faults())
 }
--- a/internal/fakes/plain/plain.go
+++ b/internal/fakes/plain/plain.go
@@ -28,9 +28,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/front"
 )
@@ -143,6 +146,16 @@
 	s.front.SetRefusing(f.Crash)
 }
 
+// PatchFaults reads faults from JSON; fields that are left out stay.
+func (s *Service) PatchFaults(text []byte) error {
+	f := s.Faults()
+	if err := json.Unmarshal(text, &f); err != nil {
+		return errors.Wrapf(err, "faults of %s", s.Name)
+	}
+	s.SetFaults(f)
+	return nil
+}
+
 // takeDrop returns where this call is dropped and counts it.
 func (s *Service) takeDrop() DropPoint {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/fakes/stand/stand_test.go
@@ -0,0 +1,68 @@
+package stand_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/fakes/stand"
+	"siskinsaddle/internal/plat/roll"
+)
+
+func call(c *qt.C, method, url, body string) (int, string) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url)
+	request.Header.SetMethod(method)
+	request.Header.Set("Idempotency-Key", "k1")
+	request.SetBodyString(body)
+	c.Assert(new(fasthttp.Client).Do(request, response), qt.IsNil)
+	return response.StatusCode(), string(response.Body())
+}
+
+func TestFaultsOfEveryPart(t *testing.T) {
+	c := qt.New(t)
+	s := &stand.Stand{Settings: stand.Embedded()}
+	c.Assert(s.Start(), qt.IsNil)
+	defer s.Stop()
+	faults := "http://" + s.Address() + "/faults"
+
+	entries := s.Platform().Entries()
+	c.Assert(entries, qt.HasLen, 3)
+	c.Assert(roll.Servers(entries, "canvas-llm", "prairie-a"), qt.HasLen, 2)
+
+	status, _ := call(c, "POST", faults+"/canvas-llm-1", `{"Slowdown": 4}`)
+	c.Assert(status, qt.Equals, fasthttp.StatusOK)
+	call(c, "POST", faults+"/yard-app-1", `{"Leaving": true}`)
+	call(c, "POST", faults+"/Platform", `{"Throttle": true}`)
+	c.Assert(s.Engine("canvas-llm-1").Faults().Slowdown, qt.Equals, 4.0)
+	c.Assert(s.Plain("yard-app-1").Faults().Leaving, qt.IsTrue)
+	c.Assert(s.Platform().Faults().Throttle, qt.IsTrue)
+	_, body := call(c, "GET", faults, "")
+	c.Assert(body, qt.Contains, `"Slowdown":4`)
+	status, _ = call(c, "POST", faults+"/nobody", `{}`)
+	c.Assert(status, qt.Equals, fasthttp.StatusNotFound)
+
+	call(c, "POST", faults+"/yard-app-1", `{"Leaving": false}`)
+	call(c, "POST", "http://"+s.Plain("yard-app-1").Address()+"/bookings", `{}`)
+	c.Assert(s.Runs("yard-app"), qt.DeepEquals, map[string]int{"k1": 1})
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s := &stand.Stand{Settings: stand.Bukal()}
+	c.Assert(s.Run(ctx), qt.IsNil)
+}
+
+func TestSettingsAreCheckedTogether(t *testing.T) {
+	c := qt.New(t)
+	_, err := stand.Parse("s.hujson", []byte("{\"Regin\": 1,\n\"Services\": [{\"Kind\": \"Web\"}]}"))
+	c.Assert(err, qt.ErrorMatches, `(?s)s.hujson:1:2: .*s.hujson:2:.*kind "Web" does not exist.*`)
+	s := stand.Kestrel().WithPorts(7400)
+	c.Assert(s.Services[1].Servers[2].ListenAddress, qt.Equals, "127.0.0.1:7414")
+}
--- /dev/null
+++ b/internal/tools/verbs/standin.go
@@ -0,0 +1,93 @@
+package verbs
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/fakes/stand"
+)
+
+const firstStandInPort = 7400
+
+var deployments = map[string]func() stand.Settings{
+	"Embedded": stand.Embedded,
+	"Kestrel":  stand.Kestrel,
+	"Bukal":    stand.Bukal,
+}
+
+type standInFlags struct {
+	deployment string
+	settings   string
+	port       int
+}
+
+// NewStandin returns the verb that runs the stand-ins as one process.
+func NewStandin() *cobra.Command {
+	var f standInFlags
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run stand-ins for the model engines, plain services and the platform",
+		Long: `Runs stand-ins on loopback until it is interrupted: model engines, plain
+services, and the platform's table service, object store and list of machines.
+
+The first port takes the calls that switch faults on:
+  GET  /faults        lists all parts with their addresses and faults
+  POST /faults/NAME   changes the faults of one part; fields left out stay
+  GET  /runs          tells how often each booking ran`,
+		Example: `  siskinsaddle standin
+  siskinsaddle standin --deployment Kestrel --port 7600
+  siskinsaddle standin --settings standin.hujson
+  curl http://127.0.0.1:7400/faults
+  curl -X POST http://127.0.0.1:7400/faults/canvas-llm-1 -d '{"Slowdown": 4}'`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) },
+	}
+	c.Flags().StringVar(&f.deployment, "deployment", "Embedded", "which servers run: Embedded, Kestrel or Bukal")
+	c.Flags().StringVar(&f.settings, "settings", "", "JSON with comments that lists the servers, instead of --deployment")
+	c.Flags().IntVar(&f.port, "port", firstStandInPort, "first port; 0 takes free ports")
+	return c
+}
+
+func (f standInFlags) read() (stand.Settings, error) {
+	if f.settings != "" {
+		text, err := os.ReadFile(f.settings)
+		if err != nil {
+			return stand.Settings{}, err
+		}
+		return stand.Parse(f.settings, text)
+	}
+	build, ok := deployments[f.deployment]
+	if !ok {
+		return stand.Settings{}, errors.Newf("deployment %q does not exist: Embedded, Kestrel or Bukal", f.deployment)
+	}
+	s := build()
+	if f.port == 0 {
+		return s, nil
+	}
+	return s.WithPorts(f.port), nil
+}
+
+func (f standInFlags) run(c *cobra.Command) error {
+	settings, err := f.read()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := &stand.Stand{Settings: settings}
+	if err := s.Start(); err != nil {
+		return err
+	}
+	defer s.Stop()
+	c.Printf("platform   http://%s\n", s.Platform().Address())
+	for _, e := range s.Platform().Entries() {
+		c.Printf("%-10s http://%s %s\n", e.Name, e.Address, e.FailureDomain)
+	}
+	c.Printf("faults     http://%s/faults\n", s.Address())
+	<-ctx.Done()
+	return nil
+}
