--- /dev/null
+++ b/internal/base/confs/confs.go
@@ -0,0 +1,228 @@
+// Package confs holds the settings of one host: its addresses, its failure
+// domain, the platform's addresses and the limits towards callers and backend
+// servers. What all hosts share stands in the manifest instead.
+//
+// Settings are JSON with comments, in Pascal case. A file names only what
+// differs from Default. Parse reports every unknown field and every wrong value
+// together, each with its line and column.
+//
+// # Usage
+//
+//	s, list := confs.Parse("host.hujson", text)
+//	if err := list.Err(); err != nil {
+//		return err
+//	}
+//	confs.Show(os.Stdout, s) // every value in force, secrets hidden
+package confs
+
+import (
+	"net/netip"
+	"strings"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/finds"
+	"siskinsaddle/internal/base/logs"
+)
+
+// Secret is a value that is never shown.
+type Secret string
+
+// String hides the value.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "(hidden)"
+}
+
+// Settings are the settings of one host.
+type Settings struct {
+	HostName      string     `about:"name of this host, unique in the deployment"`
+	Region        string     `about:"region of this host"`
+	FailureDomain string     `about:"failure domain of this host"`
+	Callers       Callers    `about:"towards callers"`
+	Links         Links      `about:"towards the other hosts"`
+	Backend       Backend    `about:"towards backend servers"`
+	Platform      Platform   `about:"towards the platform"`
+	Stop          Stop       `about:"how a planned stop goes"`
+	LogLevel      logs.Level `about:"Debug, Info, Warn or Error"`
+}
+
+// Callers are the settings of the caller side.
+type Callers struct {
+	Address                   string       `about:"IP:port that callers reach"`
+	OperatorAddress           string       `about:"IP:port for /status; loopback unless OperatorSecret is set"`
+	OperatorSecret            Secret       `about:"bearer token of operators"`
+	MaxHeaderBytes            int          `about:"longest request header"`
+	MaxBodyBytes              int          `about:"longest request body"`
+	MaxConnections            int          `about:"open connections at the most"`
+	SendTimeoutMilliseconds   clock.Millis `about:"time for a caller to send one whole request"`
+	AcceptTimeoutMilliseconds clock.Millis `about:"time for a caller to take one part of an answer"`
+}
+
+// Links are the settings of the links between hosts.
+type Links struct {
+	Address string `about:"IP:port that the other hosts reach"`
+	Secret  Secret `about:"secret shared by all hosts, at least 16 characters"`
+}
+
+// Backend are the settings towards backend servers.
+type Backend struct {
+	DialTimeoutMilliseconds     clock.Millis `about:"time to open a connection"`
+	FirstTimeoutMilliseconds    clock.Millis `about:"longest wait for the first part of an answer"`
+	ProgressTimeoutMilliseconds clock.Millis `about:"longest silence within an answer"`
+	MaxAnswerBytes              int          `about:"longest answer of a plain service"`
+	MaxAttempts                 int          `about:"tries of one repeatable request at the most"`
+}
+
+// Platform are the addresses of the platform. With no TableEndpoint the host
+// keeps its records in the process, which only the embedded defaults do.
+type Platform struct {
+	Region                 string       `about:"region name for the platform's API"`
+	TableEndpoint          string       `about:"URL of the table service"`
+	TableName              string       `about:"name of the table"`
+	ObjectEndpoint         string       `about:"URL of the object store"`
+	Bucket                 string       `about:"name of the bucket"`
+	ListAddress            string       `about:"IP:port of the list of hosts"`
+	AccessKey              string       `about:"access key of the platform's API"`
+	SecretKey              Secret       `about:"secret key of the platform's API"`
+	TimeoutMilliseconds    clock.Millis `about:"longest wait for one answer"`
+	ListPeriodMilliseconds clock.Millis `about:"time between two readings of the list"`
+}
+
+// Stop are the settings of a planned stop.
+type Stop struct {
+	BalancerMilliseconds clock.Millis `about:"time between failing readiness and refusing new work"`
+}
+
+// Default returns the settings that a file builds on. The limits fit a small
+// host; the addresses are loopback.
+func Default() Settings {
+	return Settings{
+		HostName:      "host-1",
+		Region:        "prairie",
+		FailureDomain: "prairie-a",
+		Callers: Callers{
+			Address:                   "127.0.0.1:8080",
+			OperatorAddress:           "127.0.0.1:8081",
+			MaxHeaderBytes:            16 << 10,
+			MaxBodyBytes:              4 << 20,
+			MaxConnections:            20_000,
+			SendTimeoutMilliseconds:   10 * clock.Second,
+			AcceptTimeoutMilliseconds: 20 * clock.Second,
+		},
+		Links: Links{Address: "127.0.0.1:8082", Secret: "embedded-default-secret"},
+		Backend: Backend{
+			DialTimeoutMilliseconds:     300,
+			FirstTimeoutMilliseconds:    20 * clock.Second,
+			ProgressTimeoutMilliseconds: 2 * clock.Second,
+			MaxAnswerBytes:              8 << 20,
+			MaxAttempts:                 3,
+		},
+		Platform: Platform{
+			Region:                 "prairie",
+			TableName:              "siskinsaddle",
+			Bucket:                 "siskinsaddle",
+			TimeoutMilliseconds:    clock.Second,
+			ListPeriodMilliseconds: 2 * clock.Second,
+		},
+		Stop:     Stop{BalancerMilliseconds: 2 * clock.Second},
+		LogLevel: logs.LevelInfo,
+	}
+}
+
+// Parse reads settings on top of Default and checks them as a whole.
+func Parse(file string, text []byte) (Settings, finds.List) {
+	s := Default()
+	index, list := finds.Decode(file, text, &s)
+	return s, list.With(check(s, index)...)
+}
+
+const minSecretLength = 16
+
+// check collects everything that is wrong with the values.
+func check(s Settings, x finds.Index) []finds.Finding {
+	var found []finds.Finding
+	for _, n := range names(s) {
+		if strings.TrimSpace(n.value) == "" {
+			found = append(found, x.At(n.path, "a name is wanted"))
+		}
+	}
+	for _, a := range addresses(s) {
+		if a.value == "" && a.optional {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			found = append(found, x.At(a.path, "address %q is not IP:port", a.value))
+		}
+	}
+	for _, n := range positives(s) {
+		if n.value <= 0 {
+			found = append(found, x.At(n.path, "%d is not above 0", n.value))
+		}
+	}
+	if len(s.Links.Secret) < minSecretLength {
+		found = append(found, x.At("Links.Secret", "the secret has fewer than %d characters", minSecretLength))
+	}
+	if !s.LogLevel.Valid() {
+		found = append(found, x.At("LogLevel", "level %q is not Debug, Info, Warn or Error", s.LogLevel))
+	}
+	return append(found, checkOperator(s, x)...)
+}
+
+// checkOperator keeps the operator's address off the network unless a secret
+// protects it.
+func checkOperator(s Settings, x finds.Index) []finds.Finding {
+	at, err := netip.ParseAddrPort(s.Callers.OperatorAddress)
+	if err != nil || at.Addr().IsLoopback() || s.Callers.OperatorSecret != "" {
+		return nil
+	}
+	return []finds.Finding{x.At("Callers.OperatorAddress", "an address off loopback needs OperatorSecret")}
+}
+
+type named struct {
+	path     string
+	value    string
+	optional bool
+}
+
+func names(s Settings) []named {
+	return []named{
+		{path: "HostName", value: s.HostName},
+		{path: "Region", value: s.Region},
+		{path: "FailureDomain", value: s.FailureDomain},
+		{path: "Platform.TableName", value: s.Platform.TableName},
+		{path: "Platform.Bucket", value: s.Platform.Bucket},
+	}
+}
+
+func addresses(s Settings) []named {
+	return []named{
+		{path: "Callers.Address", value: s.Callers.Address},
+		{path: "Callers.OperatorAddress", value: s.Callers.OperatorAddress},
+		{path: "Links.Address", value: s.Links.Address},
+		{path: "Platform.ListAddress", value: s.Platform.ListAddress, optional: true},
+	}
+}
+
+type number struct {
+	path  string
+	value int64
+}
+
+func positives(s Settings) []number {
+	return []number{
+		{"Callers.MaxHeaderBytes", int64(s.Callers.MaxHeaderBytes)},
+		{"Callers.MaxBodyBytes", int64(s.Callers.MaxBodyBytes)},
+		{"Callers.MaxConnections", int64(s.Callers.MaxConnections)},
+		{"Callers.SendTimeoutMilliseconds", int64(s.Callers.SendTimeoutMilliseconds)},
+		{"Callers.AcceptTimeoutMilliseconds", int64(s.Callers.AcceptTimeoutMilliseconds)},
+		{"Backend.DialTimeoutMilliseconds", int64(s.Backend.DialTimeoutMilliseconds)},
+		{"Backend.FirstTimeoutMilliseconds", int64(s.Backend.FirstTimeoutMilliseconds)},
+		{"Backend.ProgressTimeoutMilliseconds", int64(s.Backend.ProgressTimeoutMilliseconds)},
+		{"Backend.MaxAnswerBytes", int64(s.Backend.MaxAnswerBytes)},
+		{"Backend.MaxAttempts", int64(s.Backend.MaxAttempts)},
+		{"Platform.TimeoutMilliseconds", int64(s.Platform.TimeoutMilliseconds)},
+		{"Platform.ListPeriodMilliseconds", int64(s.Platform.ListPeriodMilliseconds)},
+	}
+}
