--- /dev/null
+++ b/internal/share/mfest/index.go
@@ -0,0 +1,154 @@
+package mfest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/url"
+	"path"
+	"slices"
+	"strings"
+)
+
+// HashKey returns the hash by which a manifest knows a workspace's key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Index answers the look-ups of a request on one manifest. It does not change
+// and is safe for concurrent use.
+type Index struct {
+	Manifest   Manifest
+	workspaces map[[sha256.Size]byte]int32
+	classes    map[string]int
+	services   map[string]int
+	models     map[string]int
+}
+
+// NewIndex indexes a checked manifest.
+func NewIndex(m Manifest) *Index {
+	x := &Index{
+		Manifest:   m,
+		workspaces: make(map[[sha256.Size]byte]int32, len(m.Workspaces)),
+		classes:    map[string]int{},
+		services:   map[string]int{},
+		models:     map[string]int{},
+	}
+	for i, w := range m.Workspaces {
+		for _, hash := range w.KeyHashes {
+			var sum [sha256.Size]byte
+			if _, err := hex.Decode(sum[:], []byte(hash)); err == nil {
+				x.workspaces[sum] = int32(i)
+			}
+		}
+	}
+	for i, c := range m.Classes {
+		x.classes[c.Name] = i
+	}
+	for i, s := range m.Services {
+		x.services[s.Name] = i
+		for _, model := range s.Models {
+			x.models[model.Name] = i
+		}
+	}
+	return x
+}
+
+// WorkspaceByKey returns the workspace whose key this is. Only the SHA-256 of
+// the key is compared, so the time taken tells nothing about any other key.
+func (x *Index) WorkspaceByKey(key string) (Workspace, bool) {
+	i, ok := x.workspaces[sha256.Sum256([]byte(key))]
+	if !ok {
+		return Workspace{}, false
+	}
+	return x.Manifest.Workspaces[i], true
+}
+
+// Class returns a class by its name.
+func (x *Index) Class(name string) (Class, bool) {
+	i, ok := x.classes[name]
+	if !ok {
+		return Class{}, false
+	}
+	return x.Manifest.Classes[i], true
+}
+
+// ClassFor returns the class of a request: the named one if the workspace may
+// use it, or the workspace's default for an empty name.
+func (x *Index) ClassFor(w Workspace, name string) (Class, bool) {
+	if name == "" {
+		name = w.DefaultClass
+	}
+	if !slices.Contains(w.Classes, name) {
+		return Class{}, false
+	}
+	return x.Class(name)
+}
+
+// Service returns a service by its name.
+func (x *Index) Service(name string) (Service, bool) {
+	i, ok := x.services[name]
+	if !ok {
+		return Service{}, false
+	}
+	return x.Manifest.Services[i], true
+}
+
+// ServiceByModel returns the service that offers a model.
+func (x *Index) ServiceByModel(model string) (Service, bool) {
+	i, ok := x.models[model]
+	if !ok {
+		return Service{}, false
+	}
+	return x.Manifest.Services[i], true
+}
+
+// NotRepeatable tells whether a call of a service runs at most once. The
+// target may carry a query. It is decoded and cleaned first, so that
+// "//bookings/" or "/book%69ngs" is the same call as "/bookings".
+func (x *Index) NotRepeatable(service, method, target string) bool {
+	i, ok := x.services[service]
+	if !ok {
+		return false
+	}
+	calls := x.Manifest.Services[i].NotRepeatable
+	if len(calls) == 0 {
+		return false
+	}
+	segments := split(normalPath(target))
+	return slices.ContainsFunc(calls, func(c Call) bool {
+		return c.matches(method, segments)
+	})
+}
+
+// normalPath strips the query, decodes and cleans. A path that cannot be
+// decoded is compared as it stands.
+func normalPath(target string) string {
+	raw, _, _ := strings.Cut(target, "?")
+	if decoded, err := url.PathUnescape(raw); err == nil {
+		raw = decoded
+	}
+	return path.Clean("/" + raw)
+}
+
+func split(p string) []string {
+	return strings.Split(strings.TrimPrefix(p, "/"), "/")
+}
+
+// matches compares without case, since some services fold it: to treat too
+// many calls as not repeatable does no harm.
+func (c Call) matches(method string, segments []string) bool {
+	if c.Method != "*" && !strings.EqualFold(c.Method, method) {
+		return false
+	}
+	want := split(c.Path)
+	for i, w := range want {
+		if w == "**" {
+			return true
+		}
+		if i >= len(segments) || w != "*" && !strings.EqualFold(w, segments[i]) {
+			return false
+		}
+	}
+	return len(want) == len(segments)
+}
