--- /dev/null
+++ b/internal/policy/sched/class.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"sort"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+// defaultFloorPeriod holds for a class that declares none.
+const defaultFloorPeriod = 10 * clock.Second
+
+// class is the waiting work of one class.
+type class struct {
+	Class
+	tier    *tier
+	waiting int
+	// unserved is since when the class has had waiting work and no grant.
+	unserved clock.Millis
+	// hold is the mean time in milliseconds that a request keeps its slot, 0
+	// while none has ended.
+	hold float64
+	// lanes are those with waiting requests.
+	lanes    []*lane
+	byKey    map[laneKey]*lane
+	heaviest indexed[*backlog]
+	backlogs map[string]*backlog
+}
+
+func newClass(c Class, t *tier) *class {
+	if c.FloorPeriod <= 0 {
+		c.FloorPeriod = defaultFloorPeriod
+	}
+	n := &class{Class: c, tier: t, byKey: map[laneKey]*lane{}, backlogs: map[string]*backlog{}}
+	n.heaviest.less = heavier
+	n.heaviest.place = func(b *backlog) *int { return &b.place }
+	t.classes = append(t.classes, n)
+	return n
+}
+
+// holdWeight is the weight of one ended request in the mean hold time.
+const holdWeight = 0.1
+
+func (c *class) observeHold(held clock.Millis) {
+	if c.hold == 0 {
+		c.hold = float64(held)
+		return
+	}
+	c.hold += holdWeight * (float64(held) - c.hold)
+}
+
+// backlog is what one workspace has waiting in one class.
+type backlog struct {
+	workspace string
+	weight    int
+	waiting   int
+	place     int
+	queues    []*queue
+}
+
+// heavier orders backlogs by waiting requests for their weight.
+func heavier(a, b *backlog) bool {
+	left, right := a.waiting*b.weight, b.waiting*a.weight
+	if left != right {
+		return left > right
+	}
+	return a.workspace < b.workspace
+}
+
+// victim is the entry that the class loses first: of the workspace with the
+// most waiting requests for its weight the latest one, or where none is late
+// the one that may start last.
+func (c *class) victim() *entry {
+	var oldest, newest *entry
+	for _, q := range c.heaviest.top().queues {
+		if first := q.entries[0]; q.late > 0 && (oldest == nil || first.before(oldest)) {
+			oldest = first
+		}
+		if last := q.entries[len(q.entries)-1]; newest == nil || newest.before(last) {
+			newest = last
+		}
+	}
+	if oldest != nil {
+		return oldest
+	}
+	return newest
+}
+
+// buildTiers returns the classes by name and the tiers, the most urgent first.
+func buildTiers(classes []Class) (map[string]*class, []*tier) {
+	byNumber := map[int]*tier{}
+	byName := map[string]*class{}
+	var tiers []*tier
+	for _, c := range classes {
+		t := byNumber[c.Tier]
+		if t == nil {
+			t = &tier{number: c.Tier, shares: map[string]*share{}}
+			byNumber[c.Tier] = t
+			tiers = append(tiers, t)
+		}
+		byName[c.Name] = newClass(c, t)
+	}
+	sort.Slice(tiers, func(i, j int) bool { return tiers[i].number < tiers[j].number })
+	return byName, tiers
+}
--- /dev/null
+++ b/internal/policy/sched/dispatch.go
@@ -0,0 +1,122 @@
+package sched
+
+import "siskinsaddle/internal/base/clock"
+
+// dispatch gives out free slots until none is left that a request can use.
+func (g *Group) dispatch(now clock.Millis) {
+	for len(g.waiting) > 0 && g.freeSlots() > 0 {
+		if g.grantFloor(now) {
+			continue
+		}
+		if !g.grantTier(now) {
+			return
+		}
+	}
+}
+
+// grantTier grants to the most urgent tier that can use a slot.
+func (g *Group) grantTier(now clock.Millis) bool {
+	for _, t := range g.tiers {
+		t.refresh()
+		var best *queue
+		for _, c := range t.classes {
+			best = g.better(best, c, false)
+		}
+		if best != nil {
+			g.grant(now, best.head(), false)
+			return true
+		}
+	}
+	return false
+}
+
+// better returns the queue that is served first: best, or one of the class's.
+func (g *Group) better(best *queue, c *class, floor bool) *queue {
+	for _, l := range c.lanes {
+		top := l.queues.top()
+		if best != nil && !serviceBefore(top, best) {
+			continue
+		}
+		if g.usable(l, floor) {
+			best = top
+		}
+	}
+	return best
+}
+
+func (l *lane) need(floor bool) need {
+	return need{model: l.model, tier: l.class.Tier, long: l.long, avoid: l.avoid, floor: floor}
+}
+
+func (g *Group) usable(l *lane, floor bool) bool {
+	n := l.need(floor)
+	for _, s := range g.servers {
+		if g.fits(s, n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) grant(now clock.Millis, e *entry, floor bool) {
+	n := e.queue.lane.need(floor)
+	c := e.queue.lane.class
+	s := g.choose(now, e.Request, n)
+	g.remove(e)
+	c.unserved = now
+	g.start(now, e.Request, s)
+	g.decide(Decision{ID: e.ID, Host: e.Host, Kind: DecisionGrant, Server: s.Name, Floor: floor})
+}
+
+// choose returns the server for a request that at least one server fits.
+func (g *Group) choose(now clock.Millis, r Request, n need) *server {
+	among := g.candidates(n)
+	at := -1
+	if g.settings.Choose != nil {
+		at = g.settings.Choose(now, r, among)
+	}
+	if at < 0 || at >= len(among) {
+		at = mostFree(among)
+	}
+	return g.byName[among[at].Server]
+}
+
+// start enters a running request.
+func (g *Group) start(now clock.Millis, r Request, s *server) {
+	v := &run{Request: r, server: s, share: g.shareOf(r), granted: now, long: g.isLong(r.PredictedTokens)}
+	g.running[r.ID] = v
+	v.share.addRunning(1)
+	s.running++
+	if v.long {
+		s.long++
+	}
+	if r.Spilled {
+		s.spilled++
+	}
+}
+
+// stop takes a running request out again.
+func (g *Group) stop(now clock.Millis, r *run) {
+	delete(g.running, r.ID)
+	r.share.addRunning(-1)
+	r.share.release()
+	r.server.running--
+	if r.long {
+		r.server.long--
+	}
+	if r.Spilled {
+		r.server.spilled--
+	}
+	g.class(r.Class).observeHold(now - r.granted)
+}
+
+// observe takes a progress report: work that has grown long counts as long
+// from now on, and the server's limit follows the time between tokens.
+func (g *Group) observe(now clock.Millis, r *run, p Progress) {
+	if !r.long && g.isLong(p.Tokens) {
+		r.long = true
+		r.server.long++
+	}
+	s := r.server
+	s.slots.observe(now, p.BetweenTokens, g.class(r.Class).BetweenTokensTarget, s.running >= s.slots.limit())
+}
--- /dev/null
+++ b/internal/policy/sched/queue.go
@@ -0,0 +1,129 @@
+package sched
+
+import (
+	"sort"
+	"strings"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+// entry is a waiting request.
+type entry struct {
+	Request
+	sequence uint64
+	// startBy is when the request must be granted to meet its deadline.
+	startBy clock.Millis
+	queue   *queue
+	place   int
+}
+
+// before orders entries by the time at which they must start.
+func (e *entry) before(o *entry) bool {
+	if e.startBy != o.startBy {
+		return e.startBy < o.startBy
+	}
+	return e.sequence < o.sequence
+}
+
+// queue holds the waiting requests of one workspace in one lane.
+//
+// Its entries stand in the order of startBy. The first ones are late:
+//
+//	startBy  100 140 | 210 260 300      now = 200, late = 2
+//
+// Served first is 210, then 260 and 300, then 140 and 100.
+type queue struct {
+	lane    *lane
+	share   *share
+	backlog *backlog
+	entries []*entry
+	late    int
+	inLane  int
+	inTimer int
+}
+
+// head is the entry that is served first.
+func (q *queue) head() *entry {
+	if q.late < len(q.entries) {
+		return q.entries[q.late]
+	}
+	return q.entries[q.late-1]
+}
+
+func (q *queue) headLate() bool { return q.late == len(q.entries) }
+
+// advance moves the border between late and punctual entries.
+func (q *queue) advance(now clock.Millis) {
+	for q.late < len(q.entries) && q.entries[q.late].startBy < now {
+		q.late++
+	}
+}
+
+func (q *queue) insert(e *entry, now clock.Millis) {
+	at := sort.Search(len(q.entries), func(i int) bool { return e.before(q.entries[i]) })
+	q.entries = append(q.entries, nil)
+	copy(q.entries[at+1:], q.entries[at:])
+	q.entries[at] = e
+	if e.startBy < now {
+		q.late++
+	}
+}
+
+func (q *queue) remove(e *entry) {
+	at := sort.Search(len(q.entries), func(i int) bool { return !q.entries[i].before(e) })
+	copy(q.entries[at:], q.entries[at+1:])
+	q.entries[len(q.entries)-1] = nil
+	q.entries = q.entries[:len(q.entries)-1]
+	if at < q.late {
+		q.late--
+	}
+}
+
+// serviceBefore tells whether a's head is served before b's head.
+func serviceBefore(a, b *queue) bool {
+	if a.share.over != b.share.over {
+		return b.share.over
+	}
+	if a.headLate() != b.headLate() {
+		return b.headLate()
+	}
+	if a.headLate() {
+		return b.head().before(a.head())
+	}
+	return a.head().before(b.head())
+}
+
+// laneKey is what decides which servers a request can use.
+type laneKey struct {
+	class string
+	model string
+	long  bool
+	avoid string
+}
+
+// lane holds the waiting requests that can use the same servers.
+type lane struct {
+	laneKey
+	class  *class
+	queues indexed[*queue]
+	// avoid is the set of servers that have failed these requests.
+	avoid []string
+	// byShare finds a workspace's queue.
+	byShare map[*share]*queue
+}
+
+func newLane(k laneKey, c *class, avoid []string) *lane {
+	l := &lane{laneKey: k, class: c, avoid: avoid, byShare: map[*share]*queue{}}
+	l.queues.less = serviceBefore
+	l.queues.place = func(q *queue) *int { return &q.inLane }
+	return l
+}
+
+func avoidKey(avoid []string) string {
+	if len(avoid) == 0 {
+		return ""
+	}
+	sorted := append([]string(nil), avoid...)
+	sort.Strings(sorted)
+	return strings.Join(sorted, "\n")
+}
--- /dev/null
+++ b/internal/policy/sched/sched_test.go
@@ -0,0 +1,76 @@
+package sched_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/sched"
+)
+
+func classes() []sched.Class {
+	return []sched.Class{
+		{Name: "urgent", Tier: 1, FirstTokenTarget: 300, BetweenTokensTarget: 32, FloorPeriod: 1_000, MaxWaiting: 4},
+		{Name: "draft", Tier: 3, FirstTokenTarget: 3_000, BetweenTokensTarget: 60, FloorPeriod: 2_000, MaxWaiting: 4},
+	}
+}
+
+func request(id, class, workspace string, at clock.Millis) sched.Request {
+	return sched.Request{ID: id, Class: class, Workspace: workspace, Arrived: at, Deadline: at + 300, GiveUp: at + 5_000}
+}
+
+// outcomes writes decisions as "id>server" or "id:reason".
+func outcomes(g *sched.Group) []string {
+	var all []string
+	for _, d := range g.Take() {
+		if d.Kind == sched.DecisionGrant {
+			all = append(all, d.ID+">"+d.Server)
+			continue
+		}
+		all = append(all, d.ID+":"+string(d.Reason))
+	}
+	return all
+}
+
+func oneSlot(s sched.Settings) *sched.Group {
+	g := sched.New(s)
+	g.SetServers(0, []sched.Server{{Name: "s1", State: sched.ServerUp, Slots: 1}})
+	return g
+}
+
+func TestOrder(t *testing.T) {
+	c := quicktest.New(t)
+	g := oneSlot(sched.Settings{Classes: classes()})
+	g.Offer(0, request("a", "draft", "w", 0))
+	g.Offer(0, request("b", "draft", "w", 0))
+	g.Offer(1, request("u", "urgent", "w", 1))
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"a>s1"})
+	g.Release(10, sched.Done{Progress: sched.Progress{ID: "a"}})
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"u>s1"})
+	// The draft has waited for half of its floor period, so it goes first.
+	g.Offer(1_005, request("v", "urgent", "w", 1_005))
+	g.Release(1_010, sched.Done{Progress: sched.Progress{ID: "u"}})
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"b>s1"})
+	g.Tick(6_005)
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"v:Expired"})
+}
+
+func TestShedsLowestTier(t *testing.T) {
+	c := quicktest.New(t)
+	g := oneSlot(sched.Settings{Classes: classes()})
+	g.Offer(0, request("run", "urgent", "w", 0))
+	for _, id := range []string{"d1", "d2", "d3", "d4"} {
+		g.Offer(0, request(id, "draft", "w", 0))
+	}
+	g.Take()
+	for _, id := range []string{"u1", "u2", "u3", "u4", "u5", "u6", "u7", "u8"} {
+		g.Offer(0, request(id, "urgent", "w", 0))
+	}
+	// Three drafts go, the floor's one stays, and then the tier itself sheds.
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"d4:Shed", "d3:Shed", "d2:Shed", "u8:Shed"})
+	g.Cancel(1, "run")
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"u1>s1"})
+	g.SetServers(2, nil)
+	c.Assert(g.Digest(2).Waiting, quicktest.Equals, 0)
+}
--- /dev/null
+++ b/internal/policy/sched/shed.go
@@ -0,0 +1,108 @@
+package sched
+
+import "siskinsaddle/internal/base/clock"
+
+const (
+	// keptWaiting is how many waiting requests of a class are never shed for
+	// a higher tier: the one that its floor is given to.
+	keptWaiting = 1
+	// retryAfterLeast and retryAfterMost bound what a refused caller is told.
+	retryAfterLeast = 250 * clock.Millis(1)
+	retryAfterMost  = 30 * clock.Second
+)
+
+// lowest returns the class that sheds next: in the lowest tier that has a
+// class with more than one waiting request, the class with the most of them.
+func (g *Group) lowest() *class {
+	for i := len(g.tiers) - 1; i >= 0; i-- {
+		var most *class
+		for _, c := range g.tiers[i].classes {
+			if c.waiting > keptWaiting && (most == nil || c.waiting > most.waiting) {
+				most = c
+			}
+		}
+		if most != nil {
+			return most
+		}
+	}
+	return nil
+}
+
+// bound sheds one request if the offered one made the queues too long. A class
+// may outgrow its own bound while lower tiers wait, since then it may not be
+// shed, but all together may not outgrow the sum of the bounds.
+func (g *Group) bound(e *entry) {
+	c := g.class(e.Class)
+	if c.MaxWaiting <= 0 {
+		return
+	}
+	low := g.lowest()
+	if low == nil {
+		return
+	}
+	if len(g.waiting) > g.capacity {
+		g.shed(low.victim())
+		return
+	}
+	if c.waiting > c.MaxWaiting && low.Tier <= c.Tier {
+		g.shed(c.victim())
+	}
+}
+
+// shedHopeless sheds requests of the lowest tier that cannot be reached before
+// their callers give up, even if no further request arrives.
+func (g *Group) shedHopeless(now clock.Millis) {
+	for {
+		c := g.lowest()
+		if c == nil {
+			return
+		}
+		e := c.victim()
+		if e.startBy >= now || now+g.waitEstimate(c.tier) <= e.GiveUp {
+			return
+		}
+		g.shed(e)
+	}
+}
+
+func (g *Group) shed(e *entry) {
+	g.remove(e)
+	g.refuse(e.Request, ReasonShed)
+}
+
+func (g *Group) refuse(r Request, why Reason) {
+	g.decide(Decision{ID: r.ID, Host: r.Host, Kind: DecisionRefuse, Reason: why, RetryAfter: g.retryAfter(r)})
+}
+
+// retryAfter is when the work that waits ahead of the request will be gone, or
+// 0 while no request has ended yet.
+func (g *Group) retryAfter(r Request) clock.Millis {
+	wait := g.waitEstimate(g.class(r.Class).tier)
+	if wait == 0 {
+		return 0
+	}
+	return min(retryAfterMost, max(retryAfterLeast, wait))
+}
+
+// waitEstimate is the time in milliseconds after which the work that waits now
+// in this tier and above has been given a slot: the slots' time that this work
+// will take, over the number of slots. 0 means that nothing waits or nothing
+// is known.
+func (g *Group) waitEstimate(t *tier) clock.Millis {
+	work := 0.0
+	for _, u := range g.tiers {
+		if u.number > t.number {
+			break
+		}
+		for _, c := range u.classes {
+			work += float64(c.waiting) * c.hold
+		}
+	}
+	total := 0
+	for _, s := range g.servers {
+		if s.State == ServerUp {
+			total += s.slots.limit()
+		}
+	}
+	return clock.Millis(work / float64(max(1, total)))
+}
--- /dev/null
+++ b/internal/policy/sched/slots.go
@@ -0,0 +1,79 @@
+package sched
+
+import "siskinsaddle/internal/base/clock"
+
+const (
+	// slotsInterval is the shortest time between two changes of a limit.
+	slotsInterval = 500 * clock.Millis(1)
+	// slotsDecrease is the factor on a limit while tokens come too slowly.
+	slotsDecrease = 0.85
+	// slotsCalm is the share of the target below which a limit may grow.
+	slotsCalm = 0.85
+	// slotsSmoothing is the weight of one report of the time between tokens.
+	slotsSmoothing = 0.2
+	// slotsLowest is the share of a server's slots that is always left.
+	slotsLowest = 0.25
+)
+
+// slots adapts how many requests a server runs side by side, so that the time
+// between tokens stays within the target of the classes that run there.
+// The limit falls by a factor while it does not, and grows by one while it
+// does and the slots are all taken.
+type slots struct {
+	most    int
+	current float64
+	// ratio is the smoothed time between tokens over its target.
+	ratio   float64
+	changed clock.Millis
+}
+
+func newSlots(most int, now clock.Millis) slots {
+	return slots{most: most, current: float64(most), changed: now}
+}
+
+func (s *slots) limit() int { return int(s.current) }
+
+// resize takes a new number of slots and keeps the limit's share of it.
+func (s *slots) resize(most int) {
+	if s.most == most {
+		return
+	}
+	if s.most > 0 {
+		s.current *= float64(most) / float64(s.most)
+	} else {
+		s.current = float64(most)
+	}
+	s.most = most
+	s.clamp()
+}
+
+func (s *slots) clamp() {
+	lowest := max(1, slotsLowest*float64(s.most))
+	s.current = min(float64(s.most), max(lowest, s.current))
+}
+
+// observe takes one report: between and target are in milliseconds, full tells
+// whether the limit is reached.
+func (s *slots) observe(now clock.Millis, between float64, target clock.Millis, full bool) {
+	if between <= 0 || target <= 0 {
+		return
+	}
+	ratio := between / float64(target)
+	if s.ratio == 0 {
+		s.ratio = ratio
+	}
+	s.ratio += slotsSmoothing * (ratio - s.ratio)
+	if now-s.changed < slotsInterval {
+		return
+	}
+	switch {
+	case s.ratio > 1:
+		s.current *= slotsDecrease
+	case s.ratio < slotsCalm && full:
+		s.current++
+	default:
+		return
+	}
+	s.changed = now
+	s.clamp()
+}
--- /dev/null
+++ b/internal/policy/sched/waiting.go
@@ -0,0 +1,146 @@
+package sched
+
+import (
+	"slices"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+// class returns the class by name. One that the settings do not name is made
+// and goes behind all others.
+func (g *Group) class(name string) *class {
+	if c := g.classes[name]; c != nil {
+		return c
+	}
+	last := 0
+	if n := len(g.tiers); n > 0 {
+		last = g.tiers[n-1].number
+	}
+	t := &tier{number: last + 1, shares: map[string]*share{}}
+	c := newClass(Class{Name: name, Tier: t.number}, t)
+	g.tiers = append(g.tiers, t)
+	g.classes[name] = c
+	return c
+}
+
+func (g *Group) weight(workspace string) int { return max(1, g.weights[workspace]) }
+
+func (g *Group) shareOf(r Request) *share {
+	return g.class(r.Class).tier.share(r.Workspace, g.weight(r.Workspace))
+}
+
+func (g *Group) isLong(tokens int) bool {
+	return g.settings.LongTokens > 0 && tokens >= g.settings.LongTokens
+}
+
+// add puts an entry into the queue of its workspace, and that queue into the
+// heaps it belongs to.
+func (g *Group) add(now clock.Millis, e *entry) {
+	c := g.class(e.Class)
+	q := g.queueFor(c, e.Request)
+	e.queue = q
+	q.insert(e, now)
+	g.waiting[e.ID] = e
+	g.expiry.put(e)
+	if c.waiting == 0 {
+		c.unserved = now
+	}
+	c.waiting++
+	q.share.waiting++
+	q.backlog.waiting++
+	c.heaviest.put(q.backlog)
+	g.place(q)
+}
+
+// remove takes an entry out of everything that add put it into.
+func (g *Group) remove(e *entry) {
+	q, c := e.queue, e.queue.lane.class
+	q.remove(e)
+	delete(g.waiting, e.ID)
+	g.expiry.drop(e)
+	c.waiting--
+	q.share.waiting--
+	q.backlog.waiting--
+	g.place(q)
+	c.heaviest.put(q.backlog)
+	if q.backlog.waiting == 0 {
+		c.heaviest.drop(q.backlog)
+		delete(c.backlogs, q.backlog.workspace)
+	}
+	q.share.release()
+}
+
+// place moves a queue to where it belongs in its lane and among the timers.
+func (g *Group) place(q *queue) {
+	if len(q.entries) == 0 {
+		g.discard(q)
+		return
+	}
+	q.lane.queues.put(q)
+	if q.headLate() {
+		g.timers.drop(q)
+	} else {
+		g.timers.put(q)
+	}
+}
+
+func (g *Group) discard(q *queue) {
+	l := q.lane
+	l.queues.drop(q)
+	g.timers.drop(q)
+	delete(l.byShare, q.share)
+	q.share.queues = without(q.share.queues, q)
+	q.backlog.queues = without(q.backlog.queues, q)
+	if l.queues.Len() == 0 {
+		delete(l.class.byKey, l.laneKey)
+		l.class.lanes = without(l.class.lanes, l)
+	}
+}
+
+func without[T comparable](list []T, item T) []T {
+	at := slices.Index(list, item)
+	return slices.Delete(list, at, at+1)
+}
+
+func (g *Group) queueFor(c *class, r Request) *queue {
+	avoid := g.avoidable(r)
+	k := laneKey{class: c.Name, model: r.Model, long: g.isLong(r.PredictedTokens), avoid: avoidKey(avoid)}
+	l := c.byKey[k]
+	if l == nil {
+		l = newLane(k, c, avoid)
+		c.byKey[k] = l
+		c.lanes = append(c.lanes, l)
+	}
+	s := g.shareOf(r)
+	if q := l.byShare[s]; q != nil {
+		return q
+	}
+	b := c.backlogs[r.Workspace]
+	if b == nil {
+		b = &backlog{workspace: r.Workspace, weight: s.weight, place: absent}
+		c.backlogs[r.Workspace] = b
+	}
+	q := &queue{lane: l, share: s, backlog: b, inLane: absent, inTimer: absent}
+	l.byShare[s] = q
+	s.queues = append(s.queues, q)
+	b.queues = append(b.queues, q)
+	return q
+}
+
+// advance lets time pass: entries become late, and those whose callers no
+// longer wait are refused.
+func (g *Group) advance(now clock.Millis) {
+	for g.timers.Len() > 0 {
+		q := g.timers.top()
+		if q.entries[q.late].startBy >= now {
+			break
+		}
+		q.advance(now)
+		g.place(q)
+	}
+	for g.expiry.Len() > 0 && g.expiry.top().GiveUp <= now {
+		e := g.expiry.top()
+		g.remove(e)
+		g.refuse(e.Request, ReasonExpired)
+	}
+}
