--- /dev/null
+++ b/internal/plat/amazon/settings.go
@@ -0,0 +1,63 @@
+// Package amazon makes the platform's stores out of the DynamoDB API and the S3
+// API, through the AWS SDK.
+//
+// The SDK's own retries are off: a conditional write that is sent a second
+// time after its first answer was lost reads as a conflict with itself. Every
+// error is mapped to one of the errors of table.Store and object.Store, by one
+// question: can bytes of the request have reached the service?
+//
+//	no connection was made            ErrUnavailable
+//	the service refused the condition ErrConflict
+//	the service limits the rate       ErrThrottled
+//	anything else, for a write        ErrUnsure
+//	anything else, for a read         ErrUnavailable
+//
+// # Usage
+//
+//	s := amazon.Settings{
+//		TableEndpoint:  "http://127.0.0.1:7301",
+//		ObjectEndpoint: "http://127.0.0.1:7302",
+//		Region:         "local",
+//		AccessKey:      "key",
+//		SecretKey:      "secret",
+//		Table:          "siskinsaddle",
+//		Bucket:         "siskinsaddle",
+//		DialTimeout:    500,
+//		Timeout:        2_000,
+//	}
+//	records := amazon.NewTable(s)
+//	bodies := amazon.NewObjects(s)
+package amazon
+
+import (
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+// Settings says where the platform's stores are and how long to wait for them.
+type Settings struct {
+	// TableEndpoint and ObjectEndpoint are the URLs of the DynamoDB API and of
+	// the S3 API.
+	TableEndpoint  string
+	ObjectEndpoint string
+	Region         string
+	AccessKey      string
+	SecretKey      string
+	// Table has the partition key Kind and the sort key Name, both strings.
+	Table  string
+	Bucket string
+	// DialTimeout bounds the making of a connection, Timeout a whole request,
+	// both in milliseconds.
+	DialTimeout clock.Millis
+	Timeout     clock.Millis
+}
+
+func (s Settings) credentials() aws.CredentialsProvider {
+	return credentials.NewStaticCredentialsProvider(s.AccessKey, s.SecretKey, "")
+}
+
+func (s Settings) client() *client {
+	return newClient(s.DialTimeout, s.Timeout)
+}
--- /dev/null
+++ b/internal/plat/roll/http.go
@@ -0,0 +1,68 @@
+package roll
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+const (
+	// maxListBytes is above the list of the largest planned system: 1,100
+	// machines at about 200 bytes each.
+	maxListBytes = 4 << 20
+	hostsPath    = "/hosts"
+)
+
+// ErrUnavailable tells that the platform's list could not be read.
+var ErrUnavailable = errors.New("the platform's list of machines is not reachable")
+
+// NewHTTP returns the list that the platform serves at http://address/hosts as
+// a JSON array of Entry. Timeout bounds a whole read, in milliseconds; an
+// earlier deadline of the context goes before it.
+func NewHTTP(address string, timeout clock.Millis) List {
+	l := &httpList{
+		url:     "http://" + address + hostsPath,
+		timeout: timeout,
+		client: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize:       maxListBytes,
+		},
+	}
+	return List{Read: l.read}
+}
+
+type httpList struct {
+	url     string
+	timeout clock.Millis
+	client  *fasthttp.Client
+}
+
+func (l *httpList) read(ctx context.Context) ([]Entry, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	answer := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(answer)
+	request.SetRequestURI(l.url)
+	deadline := time.Now().Add(l.timeout.Duration())
+	if at, ok := ctx.Deadline(); ok && at.Before(deadline) {
+		deadline = at
+	}
+	if err := l.client.DoDeadline(request, answer, deadline); err != nil {
+		// A silent connection would cost each later read its timeout too.
+		l.client.CloseIdleConnections()
+		return nil, errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
+	}
+	if answer.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Mark(errors.Newf("%v: status %d", ErrUnavailable, answer.StatusCode()), ErrUnavailable)
+	}
+	var entries []Entry
+	if err := json.Unmarshal(answer.Body(), &entries); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
+	}
+	return entries, nil
+}
