--- a/internal/plat/amazon/faults.go
+++ b/internal/plat/amazon/faults.go
@@ -1,6 +1,8 @@
 package amazon
 
 import (
+	"fmt"
+
 	"github.com/aws/smithy-go"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
 	"github.com/cockroachdb/errors"
@@ -36,20 +38,20 @@
 		return nil
 	}
 	if known := knownFault(err); known != nil {
-		return errors.Mark(errors.Wrap(err, known.Error()), known)
+		return fmt.Errorf("%w: %w", known, err)
 	}
 	if notSent(err) || refused(err) {
-		return errors.Mark(errors.Wrap(err, table.ErrUnavailable.Error()), table.ErrUnavailable)
+		return fmt.Errorf("%w: %w", table.ErrUnavailable, err)
 	}
-	return errors.Mark(errors.Wrap(err, table.ErrUnsure.Error()), table.ErrUnsure)
+	return fmt.Errorf("%w: %w", table.ErrUnsure, err)
 }
 
 // readError maps the failure of a read, which has nothing to be unsure of.
 func readError(err error) error {
 	if known := knownFault(err); known != nil {
-		return errors.Mark(errors.Wrap(err, known.Error()), known)
+		return fmt.Errorf("%w: %w", known, err)
 	}
-	return errors.Mark(errors.Wrap(err, table.ErrUnavailable.Error()), table.ErrUnavailable)
+	return fmt.Errorf("%w: %w", table.ErrUnavailable, err)
 }
 
 // objectError maps the failure of the object store. Its writes may be repeated,
@@ -62,7 +64,7 @@
 	if statusOf(err) == statusNotFound {
 		mark = object.ErrAbsent
 	}
-	return errors.Mark(errors.Wrap(err, mark.Error()), mark)
+	return fmt.Errorf("%w: %w", mark, err)
 }
 
 func knownFault(err error) error {
--- a/internal/plat/roll/http.go
+++ b/internal/plat/roll/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,14 +56,14 @@
 	if err := l.client.DoDeadline(request, answer, deadline); err != nil {
 		// A silent connection would cost each later read its timeout too.
 		l.client.CloseIdleConnections()
-		return nil, errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	if answer.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Mark(errors.Newf("%v: status %d", ErrUnavailable, answer.StatusCode()), ErrUnavailable)
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, answer.StatusCode())
 	}
 	var entries []Entry
 	if err := json.Unmarshal(answer.Body(), &entries); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	return entries, nil
 }
