--- a/internal/tools/verbs/standin.go
+++ b/internal/tools/verbs/standin.go
@@ -56,7 +56,7 @@
 	if f.settings != "" {
 		text, err := os.ReadFile(f.settings)
 		if err != nil {
-			return stand.Settings{}, err
+			return stand.Settings{}, errors.Wrap(err, "settings")
 		}
 		return stand.Parse(f.settings, text)
 	}
