--- a/internal/plat/amazon/amazon_test.go
+++ b/internal/plat/amazon/amazon_test.go
@@ -21,8 +21,8 @@
 var ctx = context.Background()
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
