Manifest: canonical body and hash, Both, Diff

Cause: acceptance needs one hash for equal content, a strict form for hosts that do not know the outcome of a push, and differences to show.

--- a/internal/share/mfest/mfest_test.go
+++ b/internal/share/mfest/mfest_test.go
@@ -63,3 +63,81 @@
 		"m.hujson:6:65 Workspaces[0].Classes[0]", "m.hujson:6:90 Workspaces[0].DefaultClass", "m.hujson:7:28 Limits.RetryShare",
 	})
 }
+
+// other is the default manifest with a change in each part.
+func other() Manifest {
+	text := string(defaultFile)
+	for _, change := range [][2]string{
+		{`"Name": "bukal"`, `"Name": "zeta"`},
+		{`"Tier": 2`, `"Tier": 4`},
+		{`"Version": "1"`, `"Version": "2"`},
+		{`{"Method": "POST", "Path": "/bookings"}`, `{"Method": "POST", "Path": "/orders"}`},
+		{`"MaxBodyBytes": 4194304`, `"MaxBodyBytes": 1024`},
+		{`"SpillShare": 0.25,`, ``},
+	} {
+		text = strings.Replace(text, change[0], change[1], 1)
+	}
+	m, list := Parse("other.hujson", []byte(text))
+	if err := list.Err(); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func TestBothIsWhatBothAllow(t *testing.T) {
+	c := qt.New(t)
+	a, b := Default(), other()
+	x := NewIndex(Both(a, b))
+	w, ok := x.WorkspaceByKey("demo-key")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(w.Name, qt.Equals, "kestrel")
+	_, ok = x.WorkspaceByKey("demo-key-2")
+	c.Assert(ok, qt.IsFalse)
+	class, _ := x.Class("standard")
+	c.Assert(class.Tier, qt.Equals, 4)
+	s, _ := x.Service("canvas-llm")
+	c.Assert(s.Models[0].Version, qt.Equals, "")
+	c.Assert(s.SpillShare, qt.Equals, 0.0)
+	c.Assert(x.NotRepeatable("yard-app", "POST", "/bookings"), qt.IsTrue)
+	c.Assert(x.NotRepeatable("yard-app", "POST", "/orders"), qt.IsTrue)
+	c.Assert(x.Manifest.Limits.MaxBodyBytes, qt.Equals, 1_024)
+	c.Assert(Both(a, a), qt.DeepEquals, a)
+	// Up to the order of a list that has none, the two may change places.
+	c.Assert(Diff(ordered(Both(a, b)), ordered(Both(b, a))), qt.HasLen, 0)
+}
+
+func TestDiff(t *testing.T) {
+	a, b := Default(), other()
+	var paths []string
+	for _, change := range Diff(a, b) {
+		paths = append(paths, string(change.Kind)+" "+change.Path)
+	}
+	qt.Assert(t, paths, qt.DeepEquals, []string{
+		"Changed Services[canvas-llm].Models[canvas-small].Version", "Changed Services[canvas-llm].SpillShare",
+		"Changed Services[yard-app].NotRepeatable", "Changed Classes[standard].Tier",
+		"Removed Workspaces[bukal]", "Added Workspaces[zeta]", "Changed Limits.MaxBodyBytes",
+	})
+	qt.Assert(t, FormatDiff(Diff(a, b), 1), qt.Equals,
+		"  ~ Services[canvas-llm].Models[canvas-small].Version: \"1\" -> \"2\"\n  ... and 6 more\n")
+}
+
+func TestPackAndUnpack(t *testing.T) {
+	c := qt.New(t)
+	m := Default()
+	body, err := Pack(m)
+	c.Assert(err, qt.IsNil)
+	same, err := Unpack(body.Packed, body.Hash)
+	c.Assert(err, qt.IsNil)
+	c.Assert(Diff(m, same), qt.HasLen, 0)
+	_, err = Unpack(body.Packed, HashKey("other"))
+	c.Assert(err, qt.ErrorMatches, "manifest has hash .* is wanted")
+	based, _ := Parse("based.hujson", []byte(strings.Replace(string(defaultFile), `"Base": 0`, `"Base": 7`, 1)))
+	again, err := Pack(based)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Hash, qt.Equals, body.Hash)
+	newer := []byte(`{"FailureDomains":null,"Colour":"blue"}`)
+	shared, err := sharedCodec()
+	c.Assert(err, qt.IsNil)
+	_, err = Unpack(shared.encoder.EncodeAll(newer, nil), hashText(newer))
+	c.Assert(err, qt.ErrorMatches, `.*unknown field "Colour"`)
+}
--- a/internal/share/mfest/parse.go
+++ b/internal/share/mfest/parse.go
@@ -40,7 +40,7 @@
 	if !list.Empty() {
 		return Manifest{}, list
 	}
-	return withDefaults(m), list
+	return ordered(withDefaults(m)), list
 }
 
 // Values for fields that a manifest leaves out.
--- /dev/null
+++ b/internal/share/mfest/size_test.go
@@ -0,0 +1,67 @@
+package mfest
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sized is a manifest file with many workspaces.
+func sized(workspaces int) []byte {
+	var b strings.Builder
+	head, rest, _ := strings.Cut(string(defaultFile), `"Workspaces": [`)
+	b.WriteString(head + `"Workspaces": [`)
+	for i := range workspaces {
+		fmt.Fprintf(&b, "\n{\"Name\": \"workspace-%05d\", \"KeyHashes\": [%q], \"Weight\": 1, \"MaxOpen\": 64, \"Classes\": [\"urgent\", \"standard\"], \"DefaultClass\": \"urgent\"},",
+			i, HashKey(fmt.Sprint("key", i)))
+	}
+	b.WriteString(rest)
+	return []byte(b.String())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+func BenchmarkSizes(b *testing.B) {
+	for _, n := range []int{1_000, 4_000, 10_000, 17_000} {
+		text := sized(n)
+		m, list := Parse("sized.hujson", text)
+		qt.Assert(b, list.Err(), qt.IsNil)
+		body, err := Pack(m)
+		qt.Assert(b, err, qt.IsNil)
+		run := func(name string, f func()) {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					f()
+				}
+			})
+		}
+		run("Parse", func() { Parse("sized.hujson", text) })
+		run("Pack", func() { _, _ = Pack(m) })
+		run("UnpackAndIndex", func() {
+			u, _ := Unpack(body.Packed, body.Hash)
+			NewIndex(u)
+		})
+		run("Both", func() { Both(m, m) })
+		run("Diff", func() { Diff(m, m) })
+		b.Run(fmt.Sprintf("Held/%d", n), func(b *testing.B) {
+			before := heap()
+			var held []*Index
+			for b.Loop() {
+				u, _ := Unpack(body.Packed, body.Hash)
+				held = append(held, NewIndex(u))
+			}
+			b.ReportMetric(float64(heap()-before)/float64(len(held)*(n+2)), "B/workspace")
+			b.ReportMetric(float64(len(body.Packed)), "packedB")
+			runtime.KeepAlive(held)
+		})
+	}
+}
