Link: authenticated, framed connections between hosts

Hosts need one transport for heartbeats, grants and manifest messages, with silent connections replaced before a peer is called dead.

--- /dev/null
+++ b/internal/fakes/wire/wire.go
@@ -0,0 +1,147 @@
+// Package wire is a TCP relay between two ends under test. It can drop what it
+// relays without telling either end, as a middle box does that has lost track
+// of its connections.
+//
+// # Usage
+//
+//	r, err := wire.New("127.0.0.1:7301")
+//	defer r.Close()
+//	dial(r.Addr())
+//	r.SilenceOpen()    // connections of now carry nothing any more, new ones work
+//	r.SetAllSilent(true) // new ones are accepted and carry nothing either
+package wire
+
+import (
+	"net"
+	"sync"
+)
+
+const bufferBytes = 16 << 10
+
+// Relay passes bytes between those who dial Addr and the target.
+type Relay struct {
+	target   string
+	listener net.Listener
+
+	mu        sync.Mutex
+	allSilent bool
+	pairs     map[*pair]struct{}
+}
+
+type pair struct {
+	near, far net.Conn
+	mu        sync.Mutex
+	silent    bool
+}
+
+// New opens a relay on a loopback port that the system chooses.
+func New(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{target: target, listener: listener, pairs: map[*pair]struct{}{}}
+	go r.accept()
+	return r, nil
+}
+
+// Addr returns the "IP:port" to dial.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// SilenceOpen makes every open connection swallow what either end sends.
+func (r *Relay) SilenceOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silence()
+	}
+}
+
+// SetAllSilent makes open connections silent and decides whether new ones are.
+func (r *Relay) SetAllSilent(silent bool) {
+	r.mu.Lock()
+	r.allSilent = silent
+	r.mu.Unlock()
+	if silent {
+		r.SilenceOpen()
+	}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.end()
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.relay(&pair{near: near, far: far})
+	}
+}
+
+func (r *Relay) relay(p *pair) {
+	r.mu.Lock()
+	p.silent = r.allSilent
+	r.pairs[p] = struct{}{}
+	r.mu.Unlock()
+	go r.pass(p, p.near, p.far)
+	go r.pass(p, p.far, p.near)
+}
+
+func (r *Relay) pass(p *pair, from, to net.Conn) {
+	defer r.forget(p)
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if p.isSilent() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// forget ends a pair. A silent one hides the end from the other side.
+func (r *Relay) forget(p *pair) {
+	if p.isSilent() {
+		return
+	}
+	p.end()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+}
+
+func (p *pair) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
+func (p *pair) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+func (p *pair) end() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
--- /dev/null
+++ b/internal/share/link/link_test.go
@@ -0,0 +1,219 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/wire"
+)
+
+const (
+	goodSecret = "a secret of the tests, long enough"
+	testWait   = 10 * time.Second
+)
+
+// start runs a node that echoes calls and passes sends on to got.
+func start(c *qt.C, n *Node, got chan<- string) *Node {
+	if n.Listen == "" {
+		n.Listen = "127.0.0.1:0"
+	}
+	n.Clock, n.Log, n.Counters = clock.System(), logs.Discard(), count.NewSet()
+	n.Handle("Echo", func(_ context.Context, from Peer, body []byte) (any, error) {
+		var text string
+		err := Decode(body, &text)
+		return []string{from.Name, text}, err
+	})
+	n.Handle("Note", func(_ context.Context, _ Peer, body []byte) (any, error) {
+		var text string
+		err := Decode(body, &text)
+		got <- text
+		return nil, err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Assert(n.Start(ctx), qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+	return n
+}
+
+func to(address *string) func(string) (string, bool) {
+	return func(string) (string, bool) { return *address, true }
+}
+
+func echo(n *Node, peer string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	var reply []string
+	err := n.Call(ctx, peer, "Echo", "hello", &reply)
+	return reply, err
+}
+
+func TestSendsKeepTheirOrderAndAreCounted(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan string, 100)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret)}, got)
+	address := b.Addr()
+	a := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: to(&address)}, got)
+	for i := range 100 {
+		c.Assert(a.Send("b", "Note", string(rune('0'+i))), qt.IsNil)
+	}
+	for i := range 100 {
+		c.Assert(<-got, qt.Equals, string(rune('0'+i)))
+	}
+	reply, err := echo(a, "b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.DeepEquals, []string{"a", "hello"})
+	out := []count.Label{{Key: "direction", Value: "Out"}, {Key: "kind", Value: "Note"}}
+	c.Assert(a.Counters.Count("siskinsaddle_link_messages_total", out...), qt.Equals, int64(100))
+	in := []count.Label{{Key: "direction", Value: "In"}, {Key: "kind", Value: "Note"}}
+	c.Assert(b.Counters.Count("siskinsaddle_link_bytes_total", in...), qt.Equals,
+		a.Counters.Count("siskinsaddle_link_bytes_total", out...))
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	c := qt.New(t)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret), Admit: func(p Peer) bool { return p.Incarnation > 1 }}, nil)
+	address := b.Addr()
+	for _, test := range []struct {
+		node   *Node
+		peer   string
+		reason string
+	}{
+		{&Node{Name: "a", Incarnation: 2, Secret: []byte("another secret of the tests")}, "b", "WrongSecret"},
+		{&Node{Name: "a", Incarnation: 1, Secret: []byte(goodSecret)}, "b", "OldIncarnation"},
+		{&Node{Name: "a", Incarnation: 2, Secret: []byte(goodSecret)}, "c", ""},
+	} {
+		test.node.Address = to(&address)
+		_, err := echo(start(c, test.node, nil), test.peer)
+		c.Check(errors.Is(err, ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+		if test.reason == "" {
+			continue
+		}
+		reason := count.Label{Key: "reason", Value: test.reason}
+		c.Check(b.Counters.Count("siskinsaddle_link_refused_total", reason), qt.Equals, int64(1))
+	}
+}
+
+func TestListenerProvesItself(t *testing.T) {
+	c := qt.New(t)
+	// A listener that takes every proof and cannot give its own.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s := newStream(conn)
+		var h hello
+		var p proof
+		_ = s.get(&h)
+		_ = s.put(&challenge{Name: "b", Nonce: newNonce()})
+		_ = s.get(&p)
+		_ = s.put(&p) // the dialler's own proof sent back
+	}()
+	address := listener.Addr().String()
+	a := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: to(&address)}, nil)
+	_, _, err = a.dial(context.Background(), "b")
+	c.Assert(errors.Is(err, ErrWrongSecret), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	got := make(chan string, 10)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret)}, got)
+	relay, err := wire.New(b.Addr())
+	c.Assert(err, qt.IsNil)
+	defer relay.Close()
+	address := relay.Addr()
+	a := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: to(&address), SilenceWait: 50}, got)
+	_, err = echo(a, "b")
+	c.Assert(err, qt.IsNil)
+	relay.SilenceOpen()
+	_, err = echo(a, "b")
+	c.Assert(errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	reply, err := echo(a, "b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.DeepEquals, []string{"a", "hello"})
+	c.Assert(a.Counters.Count("siskinsaddle_link_lost_total", count.Label{Key: "reason", Value: "Silent"}), qt.Equals, int64(1))
+
+	// A probe replaces the connection before anything noticed the silence.
+	relay.SilenceOpen()
+	peer, evidence := a.Probe(context.Background(), "b")
+	c.Assert(peer.Name, qt.Equals, "b")
+	c.Assert(evidence, qt.Equals, EvidenceReached)
+	_, err = echo(a, "b")
+	c.Assert(err, qt.IsNil)
+}
+
+func TestLimits(t *testing.T) {
+	c := qt.New(t)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret), MaxFrame: 1000, MaxStrangers: 1, HandshakeWait: 100}, nil)
+	address := b.Addr()
+	a := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: to(&address), MaxQueue: 1}, nil)
+	var reply []string
+	err := a.Call(context.Background(), "b", "Echo", string(make([]byte, 2000)), &reply)
+	c.Assert(errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+
+	// A connection that says nothing holds the only place until the deadline.
+	mute, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = mute.Close() }()
+	second, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = second.Close() }()
+	for _, conn := range []net.Conn{second, mute} {
+		_, err = bufio.NewReader(conn).ReadByte()
+		c.Assert(err, qt.IsNotNil)
+	}
+	c.Assert(b.Counters.Count("siskinsaddle_link_refused_total", count.Label{Key: "reason", Value: "Handshake"}), qt.Equals, int64(1))
+
+	// A full queue is an error at once.
+	l := newLane(a, "nobody")
+	c.Assert(l.push(outgoing{}), qt.IsNil)
+	c.Assert(errors.Is(l.push(outgoing{}), ErrQueueFull), qt.IsTrue)
+}
+
+func TestRestartedPeer(t *testing.T) {
+	c := qt.New(t)
+	seen := make(chan Peer, 10)
+	ctx, stopOld := context.WithCancel(context.Background())
+	old := &Node{Name: "b", Incarnation: 1, Secret: []byte(goodSecret), Listen: "127.0.0.1:0"}
+	old.Clock, old.Log, old.Counters = clock.System(), logs.Discard(), count.NewSet()
+	c.Assert(old.Start(ctx), qt.IsNil)
+	oldDone := make(chan error, 1)
+	go func() { oldDone <- old.Run(ctx) }()
+	address := old.Addr()
+	a := start(c, &Node{
+		Name: "a", Secret: []byte(goodSecret), Address: to(&address),
+		Connected: func(p Peer) { seen <- p },
+	}, nil)
+	_, err := echo(a, "b")
+	c.Assert(errors.Is(err, ErrRemote), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(<-seen, qt.Equals, Peer{Name: "b", Incarnation: 1})
+	stopOld()
+	c.Assert(<-oldDone, qt.IsNil)
+	_, evidence := a.Probe(context.Background(), "b")
+	c.Assert(evidence, qt.Equals, EvidenceRefused)
+
+	start(c, &Node{Name: "b", Incarnation: 2, Secret: []byte(goodSecret), Listen: address}, nil)
+	for err = ErrUnreachable; errors.Is(err, ErrUnreachable) || errors.Is(err, ErrBroken); {
+		_, err = echo(a, "b")
+	}
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-seen, qt.Equals, Peer{Name: "b", Incarnation: 2})
+}
--- /dev/null
+++ b/internal/share/link/shake.go
@@ -0,0 +1,153 @@
+package link
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	nonceBytes          = 16
+	maxHandshakeBytes   = 1024
+	connectionBufferLen = 16 << 10
+)
+
+// The messages of a handshake, in their order. The dialling end sends hello
+// and proof, the other end challenge and welcome.
+type (
+	hello struct {
+		From        string
+		To          string
+		Incarnation int64
+		Nonce       []byte
+	}
+	challenge struct {
+		Name        string
+		Incarnation int64
+		Nonce       []byte
+	}
+	proof struct {
+		MAC []byte
+	}
+)
+
+// stream is a connection with its buffers.
+type stream struct {
+	conn net.Conn
+	r    *bufio.Reader
+	w    *bufio.Writer
+}
+
+func newStream(c net.Conn) *stream {
+	return &stream{
+		conn: c,
+		r:    bufio.NewReaderSize(c, connectionBufferLen),
+		w:    bufio.NewWriterSize(c, connectionBufferLen),
+	}
+}
+
+func (s *stream) put(value any) error {
+	if _, err := writeFrame(s.w, value); err != nil {
+		return err
+	}
+	return s.w.Flush()
+}
+
+func (s *stream) get(value any) error {
+	_, err := readFrame(s.r, maxHandshakeBytes, value)
+	return err
+}
+
+// sign binds the role, both nonces and both identities, each with its length,
+// so that no two handshakes and no two roles have the same text to sign.
+func (n *Node) sign(role string, h hello, c challenge) []byte {
+	m := hmac.New(sha256.New, n.Secret)
+	parts := [][]byte{
+		[]byte(role), []byte(h.From), []byte(h.To), h.Nonce, []byte(c.Name), c.Nonce,
+		binary.BigEndian.AppendUint64(nil, uint64(h.Incarnation)),
+		binary.BigEndian.AppendUint64(nil, uint64(c.Incarnation)),
+	}
+	for _, part := range parts {
+		m.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		m.Write(part)
+	}
+	return m.Sum(nil)
+}
+
+// The roles that sign.
+const (
+	roleDialler  = "siskinsaddle link dialler"
+	roleListener = "siskinsaddle link listener"
+)
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce) // never fails, by the standard library's promise
+	return nonce
+}
+
+// shakeOut is the dialling end's handshake.
+func (n *Node) shakeOut(s *stream, to string) (Peer, error) {
+	_ = s.conn.SetDeadline(time.Now().Add(n.HandshakeWait.Duration()))
+	h := hello{From: n.Name, To: to, Incarnation: n.Incarnation, Nonce: newNonce()}
+	if err := s.put(&h); err != nil {
+		return Peer{}, err
+	}
+	var c challenge
+	if err := s.get(&c); err != nil {
+		return Peer{}, err
+	}
+	if c.Name != to {
+		return Peer{}, errors.Wrapf(ErrWrongPeer, "dialled %q, reached %q", to, c.Name)
+	}
+	if err := s.put(&proof{MAC: n.sign(roleDialler, h, c)}); err != nil {
+		return Peer{}, err
+	}
+	var p proof
+	if err := s.get(&p); err != nil {
+		return Peer{}, err
+	}
+	if !hmac.Equal(p.MAC, n.sign(roleListener, h, c)) {
+		return Peer{}, errors.Wrapf(ErrWrongSecret, "peer %q", to)
+	}
+	_ = s.conn.SetDeadline(time.Time{})
+	return Peer{Name: c.Name, Incarnation: c.Incarnation}, nil
+}
+
+// shakeIn is the listening end's handshake.
+func (n *Node) shakeIn(s *stream) (Peer, error) {
+	_ = s.conn.SetDeadline(time.Now().Add(n.HandshakeWait.Duration()))
+	var h hello
+	if err := s.get(&h); err != nil {
+		return Peer{}, err
+	}
+	c := challenge{Name: n.Name, Incarnation: n.Incarnation, Nonce: newNonce()}
+	if err := s.put(&c); err != nil {
+		return Peer{}, err
+	}
+	var p proof
+	if err := s.get(&p); err != nil {
+		return Peer{}, err
+	}
+	if !hmac.Equal(p.MAC, n.sign(roleDialler, h, c)) {
+		return Peer{}, errors.Wrapf(ErrWrongSecret, "peer %q", h.From)
+	}
+	if h.To != n.Name || len(h.Nonce) != nonceBytes {
+		return Peer{}, errors.Wrapf(ErrWrongPeer, "peer %q looked for %q", h.From, h.To)
+	}
+	from := Peer{Name: h.From, Incarnation: h.Incarnation}
+	if n.Admit != nil && !n.Admit(from) {
+		return Peer{}, errors.Wrapf(ErrOldIncarnation, "peer %q, incarnation %d", from.Name, from.Incarnation)
+	}
+	if err := s.put(&proof{MAC: n.sign(roleListener, h, c)}); err != nil {
+		return Peer{}, err
+	}
+	_ = s.conn.SetDeadline(time.Time{})
+	return from, nil
+}
