Thin path from a caller to backend servers, in one process

The engine's error answers carry no request id, so a plain 'model not found' was taken for an answer to another request. Ruled out: a lost header in the connection pool (a direct call showed the 404). An answer that names another request is still a crossed one; an error that names none is the server's own.

--- /dev/null
+++ b/cmd/siskinsaddle/main.go
@@ -0,0 +1,13 @@
+// Command siskinsaddle routes language-model traffic with service levels and
+// priorities. Package verbs holds its command line.
+package main
+
+import (
+	"os"
+
+	"siskinsaddle/internal/tools/verbs"
+)
+
+func main() {
+	os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/fakes/engine/answer.go
+++ b/internal/fakes/engine/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -116,6 +117,7 @@
 		id = e.newID()
 	}
 	ctx.Response.Header.Set(HeaderRequestID, id)
+	ctx.Response.Header.Set(HeaderResumeOffset, strconv.Itoa(offset))
 	prefix, prefixTokens := text.Prefix()
 	job := batch.Job{
 		ID:           id,
--- a/internal/fakes/stand/settings.go
+++ b/internal/fakes/stand/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"siskinsaddle/internal/base/finds"
 	"siskinsaddle/internal/fakes/batch"
@@ -83,8 +84,8 @@
 				Kind:          KindModel,
 				ChecksFencing: true,
 				Models: []engine.Model{
-					{Name: model + "-small", Version: "1"},
-					{Name: model + "-large", Version: "1"},
+					{Name: strings.TrimSuffix(model, "-llm") + "-small", Version: "1"},
+					{Name: strings.TrimSuffix(model, "-llm") + "-large", Version: "1"},
 				},
 				Servers: servers(model, models, domains),
 			},
--- /dev/null
+++ b/internal/serve/entry/routes.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/serve/refuse"
+)
+
+// route is one entry of the caller side's table of paths.
+type route struct {
+	// method is empty where every method is served.
+	method string
+	path   string
+	// prefix tells that path is the beginning of the paths served.
+	prefix bool
+	serve  func(*Entry, *fasthttp.RequestCtx) *refuse.Refusal
+}
+
+func (r route) matches(path string) bool {
+	if r.prefix {
+		return strings.HasPrefix(path, r.path)
+	}
+	return path == r.path
+}
+
+var routes = []route{
+	{method: "POST", path: "/v1/chat/completions", serve: (*Entry).completion},
+	{method: "POST", path: "/v1/completions", serve: (*Entry).completion},
+	{method: "GET", path: "/v1/models", serve: (*Entry).models},
+	{path: "/services/", prefix: true, serve: (*Entry).service},
+	{method: "GET", path: "/healthz", serve: (*Entry).health},
+	{method: "GET", path: "/readyz", serve: (*Entry).ready},
+	{method: "GET", path: "/metrics", serve: (*Entry).metrics},
+}
+
+// health answers while the process runs.
+func (e *Entry) health(c *fasthttp.RequestCtx) *refuse.Refusal {
+	c.SetContentType("text/plain; charset=utf-8")
+	c.SetBodyString("ok\n")
+	return nil
+}
+
+// ready answers whether the balancer should send callers here.
+func (e *Entry) ready(c *fasthttp.RequestCtx) *refuse.Refusal {
+	if e.leaving.Load() {
+		return refuse.New(refuse.ReasonStopping)
+	}
+	if e.View().Index == nil || !e.Ready() {
+		return refuse.New(refuse.ReasonNotReady)
+	}
+	return e.health(c)
+}
+
+// metrics writes the counters and gauges.
+func (e *Entry) metrics(c *fasthttp.RequestCtx) *refuse.Refusal {
+	e.Count.Set("siskinsaddle_open_requests", int64(e.opens.open()))
+	e.Count.Set("siskinsaddle_manifest_generation", e.View().Generation)
+	c.SetContentType("text/plain; version=0.0.4; charset=utf-8")
+	if err := e.Count.WritePrometheus(c); err != nil {
+		e.Log.Warn("Could not write the metrics.", "error", err)
+	}
+	return nil
+}
+
+func itoa(n int) string {
+	return strconv.Itoa(n)
+}
--- /dev/null
+++ b/internal/serve/entry/visits.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/share/mfest"
+)
+
+// visit is one admitted request. leave must be called once, at its end.
+type visit struct {
+	ctx       context.Context
+	view      View
+	workspace mfest.Workspace
+	class     mfest.Class
+	arrived   clock.Millis
+	leave     func()
+}
+
+// admit checks the manifest view, the key, the class and the open limit.
+func (e *Entry) admit(c *fasthttp.RequestCtx) (visit, *refuse.Refusal) {
+	arrived := e.Clock.Now()
+	if e.draining.Load() {
+		return visit{}, refuse.New(refuse.ReasonStopping).WithRetryAfter(clock.Second)
+	}
+	view := e.View()
+	if view.Index == nil {
+		return visit{}, refuse.New(refuse.ReasonNotReady).WithRetryAfter(clock.Second)
+	}
+	workspace, refusal := authenticate(c, view)
+	if refusal != nil {
+		return visit{}, refusal
+	}
+	class, ok := view.Index.ClassFor(workspace, string(c.Request.Header.Peek("X-Class")))
+	if !ok {
+		return visit{}, view.missing(refuse.ReasonUnknownClass)
+	}
+	if !e.opens.enter(workspace.Name, workspace.MaxOpen) {
+		return visit{}, refuse.New(refuse.ReasonTooManyOpen).WithRetryAfter(clock.Second)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go watchGone(ctx, c.Conn(), cancel)
+	return visit{
+		ctx:       ctx,
+		view:      view,
+		workspace: workspace,
+		class:     class,
+		arrived:   arrived,
+		leave: func() {
+			cancel()
+			e.opens.leave(workspace.Name)
+		},
+	}, nil
+}
+
+// missing refuses for a name that the manifest lacks. While two generations
+// are possible the name may stand in one of them, so the refusal says so.
+func (v View) missing(reason refuse.Reason) *refuse.Refusal {
+	if v.Uncertain {
+		return refuse.New(refuse.ReasonUncertain).WithRetryAfter(clock.Second)
+	}
+	return refuse.New(reason)
+}
+
+const bearer = "Bearer "
+
+// authenticate finds the workspace of the request's key.
+func authenticate(c *fasthttp.RequestCtx, view View) (mfest.Workspace, *refuse.Refusal) {
+	header := string(c.Request.Header.Peek("Authorization"))
+	key, ok := strings.CutPrefix(header, bearer)
+	if !ok || key == "" {
+		return mfest.Workspace{}, refuse.New(refuse.ReasonNoKey)
+	}
+	workspace, ok := view.Index.WorkspaceByKey(key)
+	if !ok {
+		return mfest.Workspace{}, view.missing(refuse.ReasonWrongKey)
+	}
+	return workspace, nil
+}
+
+// countServed counts a completed request of a class.
+func (e *Entry) countServed(class string) {
+	e.Count.Add("siskinsaddle_served_total", 1, count.Label{Key: "class", Value: class})
+}
--- /dev/null
+++ b/internal/serve/hostd/hostd_test.go
@@ -0,0 +1,100 @@
+package hostd_test
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	openai "github.com/sashabaranov/go-openai"
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/confs"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/stand"
+	"siskinsaddle/internal/plat/object"
+	"siskinsaddle/internal/plat/roll"
+	"siskinsaddle/internal/plat/table"
+	"siskinsaddle/internal/serve/hostd"
+)
+
+// bed is one host before the embedded stand-ins.
+type bed struct {
+	c     *qt.C
+	stand *stand.Stand
+	host  *hostd.Host
+}
+
+func newBed(t *testing.T) *bed {
+	c := qt.New(t)
+	b := &bed{c: c, stand: &stand.Stand{Settings: stand.Embedded()}}
+	c.Assert(b.stand.Start(), qt.IsNil)
+	c.Cleanup(b.stand.Stop)
+	s := confs.Default()
+	s.Callers.Address = "127.0.0.1:0"
+	s.Stop.BalancerMilliseconds = 1
+	b.host = &hostd.Host{
+		Settings: s,
+		List:     roll.NewHTTP(b.stand.Platform().Address(), clock.Second),
+		Table:    table.NewMemory(),
+		Objects:  object.NewMemory(),
+		Clock:    clock.System(),
+		Count:    count.NewSet(),
+		Log:      logs.Discard(),
+	}
+	c.Assert(b.host.Start(context.Background()), qt.IsNil)
+	return b
+}
+
+func (b *bed) client() *openai.Client {
+	config := openai.DefaultConfig("demo-key")
+	config.BaseURL = "http://" + b.host.Address() + "/v1"
+	return openai.NewClientWithConfig(config)
+}
+
+func question(words int) openai.ChatCompletionRequest {
+	return openai.ChatCompletionRequest{
+		Model:               "canvas-small",
+		MaxCompletionTokens: words,
+		Messages:            []openai.ChatCompletionMessage{{Role: "user", Content: "The awning frame is bent. What now?"}},
+	}
+}
+
+// An ordinary client gets the same answer streamed and whole.
+func TestOpenAIClient(t *testing.T) {
+	b := newBed(t)
+	ctx := context.Background()
+	whole, err := b.client().CreateChatCompletion(ctx, question(12))
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(whole.Usage.CompletionTokens, qt.Equals, 12)
+	stream, err := b.client().CreateChatCompletionStream(ctx, question(12))
+	b.c.Assert(err, qt.IsNil)
+	var text strings.Builder
+	for {
+		part, err := stream.Recv()
+		if err == io.EOF {
+			break
+		}
+		b.c.Assert(err, qt.IsNil)
+		text.WriteString(part.Choices[0].Delta.Content)
+	}
+	b.c.Assert(text.String(), qt.Equals, whole.Choices[0].Message.Content)
+	b.c.Assert(b.host.Stop(ctx), qt.IsNil)
+}
+
+func TestBookingRunsOnce(t *testing.T) {
+	b := newBed(t)
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + b.host.Address() + "/services/yard-app/bookings")
+	request.Header.SetMethod("POST")
+	request.Header.Set("Authorization", "Bearer demo-key")
+	request.Header.Set("Idempotency-Key", "k1")
+	request.SetBodyString(`{"Stall": "12"}`)
+	b.c.Assert(fasthttp.Do(request, answer), qt.IsNil)
+	b.c.Assert(answer.StatusCode(), qt.Equals, 200)
+	b.c.Assert(b.stand.Runs("yard-app")["k1"], qt.Equals, 1)
+	b.c.Assert(b.host.Stop(context.Background()), qt.IsNil)
+}
--- /dev/null
+++ b/internal/serve/relay/attempt.go
@@ -0,0 +1,262 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/events"
+	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/serve/wire"
+)
+
+// The headers that a backend server reads and echoes.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderPriority     = "X-Priority"
+	HeaderResumeOffset = "X-Resume-Offset"
+	HeaderLeaving      = "X-Leaving"
+)
+
+type noteKind string
+
+const (
+	noteEvent   noteKind = "Event"
+	noteEnd     noteKind = "End"
+	noteFinal   noteKind = "Final"
+	noteRefused noteKind = "Refused"
+	noteFailed  noteKind = "Failed"
+)
+
+// note is what an attempt tells its stream.
+type note struct {
+	attempt int
+	kind    noteKind
+	event   events.Event
+	refusal *refuse.Refusal
+	final   *Final
+	cause   Cause
+	server  string
+	// sent tells that something may have reached the backend server.
+	sent bool
+}
+
+// attempt is one try of a request.
+type attempt struct {
+	stream *Stream
+	number int
+	offset int
+	ctx    context.Context
+	cancel context.CancelFunc
+	avoid  []string
+	server atomic.Value
+	grant  Grant
+	sent   bool
+
+	tokens     int
+	started    clock.Millis
+	firstToken clock.Millis
+	lastToken  clock.Millis
+	lastReport clock.Millis
+	reported   int
+}
+
+// granted returns the server of the attempt's grant, empty before the grant.
+func (a *attempt) granted() string {
+	server, _ := a.server.Load().(string)
+	return server
+}
+
+// run asks for a grant, sends the request and reads the answer. It gives the
+// grant back whatever happens.
+func (a *attempt) run() {
+	defer a.cancel()
+	request := a.stream.job.Request
+	request.ID = attemptID(request.ID, a.number)
+	request.Avoid = a.avoid
+	grant, refusal := a.stream.relay.Ask(a.ctx, request)
+	if refusal != nil {
+		a.fail(note{kind: noteRefused, refusal: refusal})
+		return
+	}
+	a.grant = grant
+	a.server.Store(grant.Server)
+	a.started = a.stream.relay.Clock.Now()
+	a.firstToken = -1
+	last := a.exchange()
+	a.giveBack(last)
+	a.fail(last)
+}
+
+// fail tells the stream how the attempt ended.
+func (a *attempt) fail(n note) {
+	a.tell(n)
+}
+
+// tell waits until the stream takes the note or the attempt is cancelled.
+func (a *attempt) tell(n note) bool {
+	n.attempt = a.number
+	n.server = a.grant.Server
+	n.sent = a.sent
+	select {
+	case a.stream.notes <- n:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+var outcomes = map[noteKind]sched.Outcome{
+	noteEnd:    sched.OutcomeDone,
+	noteFinal:  sched.OutcomeDone,
+	noteFailed: sched.OutcomeFailed,
+}
+
+func (a *attempt) giveBack(last note) {
+	outcome := outcomes[last.kind]
+	if last.cause == CauseSilent {
+		outcome = sched.OutcomeSilent
+	}
+	if a.ctx.Err() != nil {
+		outcome = sched.OutcomeCancelled
+	}
+	a.stream.relay.Done(a.stream.job.Request.Service, sched.Done{Progress: a.progress(), Outcome: outcome})
+}
+
+// exchange sends the request and reads the answer to its end.
+func (a *attempt) exchange() note {
+	job := a.stream.job
+	answer, sent, err := a.stream.relay.Send(a.ctx, wire.Request{
+		Address:          a.grant.Address,
+		Method:           "POST",
+		Path:             job.Path,
+		Headers:          a.headers(),
+		Body:             job.Body,
+		FirstByteTimeout: a.stream.relay.FirstTimeout,
+	})
+	a.sent = sent != wire.SentNothing
+	if err != nil {
+		return note{kind: noteFailed, cause: causeOf(err, sent)}
+	}
+	defer func() { _ = answer.Body.Close() }() // the answer is read or of no use
+	if n, ok := a.checkAnswer(answer); !ok {
+		return n
+	}
+	return a.readAll(events.NewReader(answer.Body))
+}
+
+func (a *attempt) headers() []wire.Header {
+	job := a.stream.job
+	h := []wire.Header{
+		{Name: "Content-Type", Value: "application/json"},
+		{Name: HeaderRequestID, Value: job.Request.ID},
+		{Name: HeaderPriority, Value: strconv.Itoa(job.Tier)},
+	}
+	if a.offset > 0 {
+		h = append(h, wire.Header{Name: HeaderResumeOffset, Value: strconv.Itoa(a.offset)})
+	}
+	return h
+}
+
+func causeOf(err error, sent wire.Sent) Cause {
+	if sent == wire.SentNothing {
+		return CauseUnreachable
+	}
+	if errors.Is(err, wire.ErrSilent) {
+		return CauseSilent
+	}
+	return CauseBroken
+}
+
+// checkAnswer finds the answers that are not the stream that was asked for.
+func (a *attempt) checkAnswer(answer wire.Answer) (note, bool) {
+	id := answer.Header(HeaderRequestID)
+	named := id != ""
+	switch {
+	case named && id != a.stream.job.Request.ID:
+		return note{kind: noteFailed, cause: CauseCrossed}, false
+	case answer.Header(HeaderLeaving) == "true":
+		return note{kind: noteFailed, cause: CauseLeaving}, false
+	case answer.Status >= 500:
+		return note{kind: noteFailed, cause: CauseServerError}, false
+	case answer.Status >= 400:
+		return a.readFinal(answer), false
+	case !named:
+		return note{kind: noteFailed, cause: CauseCrossed}, false
+	case a.offset > 0 && answer.Header(HeaderResumeOffset) != strconv.Itoa(a.offset):
+		return note{kind: noteFailed, cause: CauseNoResume}, false
+	}
+	return note{}, true
+}
+
+const maxFinalBytes = 64 << 10
+
+func (a *attempt) readFinal(answer wire.Answer) note {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxFinalBytes))
+	if err != nil {
+		return note{kind: noteFailed, cause: CauseBroken}
+	}
+	return note{kind: noteFinal, final: &Final{Status: answer.Status, Body: body}}
+}
+
+func (a *attempt) readAll(r *events.Reader) note {
+	finished := false
+	for {
+		e, err := r.Next()
+		if errors.Is(err, io.EOF) && finished {
+			return note{kind: noteEnd}
+		}
+		if err != nil {
+			return note{kind: noteFailed, cause: causeOf(err, wire.SentAll)}
+		}
+		finished = finished || e.Finish != ""
+		a.observe(e)
+		if a.repeats(e) {
+			continue
+		}
+		if !a.tell(note{kind: noteEvent, event: e}) {
+			return note{kind: noteFailed, cause: CauseBroken}
+		}
+	}
+}
+
+// repeats tells whether the caller has an event like this one already: the
+// opening event of a resumed stream.
+func (a *attempt) repeats(e events.Event) bool {
+	return a.offset > 0 && e.Tokens == 0 && e.Finish == "" && e.Usage == nil
+}
+
+// observe keeps the timings and reports them once in each period.
+func (a *attempt) observe(e events.Event) {
+	if e.Tokens == 0 {
+		return
+	}
+	now := a.stream.relay.Clock.Now()
+	a.tokens += e.Tokens
+	first := a.firstToken < 0
+	if first {
+		a.firstToken = now - a.started
+		a.lastReport = now
+		a.reported = a.tokens
+	}
+	a.lastToken = now
+	if first || now-a.lastReport >= progressPeriod {
+		a.stream.relay.Progress(a.stream.job.Request.Service, a.progress())
+		a.lastReport = now
+		a.reported = a.tokens
+	}
+}
+
+// progress gives the mean time between tokens since the last report.
+func (a *attempt) progress() sched.Progress {
+	p := sched.Progress{ID: a.grant.ID, Tokens: a.tokens, FirstToken: a.firstToken}
+	if since := a.tokens - a.reported; since > 0 {
+		p.BetweenTokens = float64(a.lastToken-a.lastReport) / float64(since)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/serve/relay/relay.go
@@ -0,0 +1,354 @@
+// Package relay carries one completion from a backend server to its caller: it
+// asks for a grant, sends the request, reads the tokens, and retries, hedges
+// and resumes until the caller has the whole answer or a truthful refusal.
+//
+// Each try of a request is an attempt with a grant of its own. Attempts write
+// their events to one channel of the stream, marked with their number; the
+// first attempt that brings a token wins, the others are cancelled, and
+// whatever else they bring is dropped. A broken stream is resumed: the next
+// attempt carries the same request id and the number of tokens that the caller
+// already has.
+//
+// # Usage
+//
+//	r := &relay.Relay{Ask: keeper.Ask, Send: client.Do, ...}
+//	s := r.Start(ctx, job)
+//	defer s.Close()
+//	for {
+//		step := s.Next()
+//		switch {
+//		case step.Refusal != nil: // nothing more comes
+//		case step.End:            // the answer is complete
+//		default:                  // step.Event is the next token
+//		}
+//	}
+package relay
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/panjf2000/ants/v2"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/events"
+	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/serve/wire"
+)
+
+// Grant is the right to send one request to one backend server.
+type Grant struct {
+	// ID names the grant towards the one who gave it.
+	ID      string
+	Server  string
+	Address string
+}
+
+// Job is one completion that a caller wants.
+type Job struct {
+	// Request is what the scheduler needs; its ID is the request id that the
+	// backend server sees on every attempt.
+	Request sched.Request
+	// Tier is passed on as the engine's own priority.
+	Tier int
+	// Path and Body go to the backend server as they are.
+	Path string
+	Body []byte
+}
+
+// Cause is why an attempt failed.
+type Cause string
+
+// The causes.
+const (
+	CauseUnreachable Cause = "Unreachable"
+	CauseLeaving     Cause = "Leaving"
+	CauseServerError Cause = "ServerError"
+	CauseBroken      Cause = "Broken"
+	CauseSilent      Cause = "Silent"
+	CauseCrossed     Cause = "CrossedAnswer"
+	CauseNoResume    Cause = "NoResume"
+)
+
+// Failure is a failed attempt, for the decision on the next one.
+type Failure struct {
+	Cause   Cause
+	Class   string
+	Server  string
+	Attempt int
+	// Delivered is how many tokens the caller has.
+	Delivered int
+	// Deadline is when the caller gives up waiting for the first token.
+	Deadline clock.Millis
+}
+
+// Relay makes streams. Set the fields before the first Start.
+type Relay struct {
+	// Ask waits for a grant. A refusal ends the attempt.
+	Ask func(ctx context.Context, r sched.Request) (Grant, *refuse.Refusal)
+	// Progress and Done report on a granted request.
+	Progress func(service string, p sched.Progress)
+	Done     func(service string, d sched.Done)
+	// Send sends a request to a backend server.
+	Send func(ctx context.Context, r wire.Request) (wire.Answer, wire.Sent, error)
+	// MayRetry decides on one more attempt after a failure.
+	MayRetry func(f Failure) bool
+	// HedgeAfter is how long to wait for the first token before a second
+	// attempt is made beside the first, 0 for never.
+	HedgeAfter func(r sched.Request) clock.Millis
+	// MayHedge takes one hedge from the budget.
+	MayHedge func(class string) bool
+	// Finished is told of each completion's length, for prediction.
+	Finished func(r sched.Request, tokens int)
+
+	// FirstTimeout is the longest wait for a backend server's first byte.
+	FirstTimeout clock.Millis
+	Clock        clock.Clock
+	Count        *count.Set
+	// Pool runs the attempts.
+	Pool *ants.Pool
+}
+
+const (
+	progressPeriod = 200 * clock.Millis(1)
+	noteBuffer     = 64
+)
+
+// Step is what Next returns: a token, the end, or a refusal.
+type Step struct {
+	Event   events.Event
+	End     bool
+	Refusal *refuse.Refusal
+	// Final is set where the backend server itself answered with an error
+	// that is the caller's own, such as a prompt that is too long.
+	Final *Final
+}
+
+// Final is a backend server's own error answer.
+type Final struct {
+	Status int
+	Body   []byte
+}
+
+// Stream is one completion under way. It is not safe for concurrent use.
+type Stream struct {
+	relay     *Relay
+	job       Job
+	ctx       context.Context
+	cancel    context.CancelFunc
+	notes     chan note
+	live      map[int]*attempt
+	made      int
+	winner    int
+	delivered int
+	sent      bool
+	avoid     []string
+	hedge     <-chan struct{}
+	over      bool
+}
+
+// Start begins the first attempt.
+func (r *Relay) Start(ctx context.Context, j Job) *Stream {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Stream{
+		relay:  r,
+		job:    j,
+		ctx:    ctx,
+		cancel: cancel,
+		notes:  make(chan note, noteBuffer),
+		live:   map[int]*attempt{},
+		winner: -1,
+	}
+	s.launch()
+	if after := r.HedgeAfter(j.Request); after > 0 {
+		s.hedge = r.Clock.After(after)
+	}
+	return s
+}
+
+// Close cancels what is still under way.
+func (s *Stream) Close() {
+	s.cancel()
+}
+
+// Delivered is how many tokens Next has returned.
+func (s *Stream) Delivered() int {
+	return s.delivered
+}
+
+// launch starts one attempt that goes on after the tokens delivered so far.
+func (s *Stream) launch() {
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := &attempt{
+		stream: s,
+		number: s.made,
+		offset: s.delivered,
+		ctx:    ctx,
+		cancel: cancel,
+		avoid:  append([]string(nil), s.avoid...),
+	}
+	s.made++
+	s.live[a.number] = a
+	if err := s.relay.Pool.Submit(a.run); err != nil {
+		go a.fail(note{kind: noteRefused, refusal: refuse.New(refuse.ReasonTooManyOpen)})
+	}
+}
+
+// Next waits for the next step. After a step with End, Refusal or Final there
+// is nothing more.
+func (s *Stream) Next() Step {
+	if s.over {
+		return Step{End: true}
+	}
+	for {
+		select {
+		case <-s.ctx.Done():
+			return s.finish(Step{Refusal: refuse.New(refuse.ReasonCallerGone)})
+		case <-s.hedge:
+			s.hedge = nil
+			s.tryHedge()
+		case n := <-s.notes:
+			if step, ready := s.take(n); ready {
+				return step
+			}
+		}
+	}
+}
+
+func (s *Stream) finish(step Step) Step {
+	s.over = true
+	s.cancel()
+	return step
+}
+
+// tryHedge starts a second attempt where the first has brought nothing yet.
+func (s *Stream) tryHedge() {
+	if s.winner >= 0 || len(s.live) != 1 || !s.relay.MayHedge(s.job.Request.Class) {
+		return
+	}
+	for _, a := range s.live {
+		if server := a.granted(); server != "" {
+			s.avoid = append(s.avoid, server)
+			s.count("siskinsaddle_hedges_total", "Sent")
+			s.launch()
+			return
+		}
+	}
+}
+
+func (s *Stream) count(name, reason string) {
+	s.relay.Count.Add(name, 1,
+		count.Label{Key: "reason", Value: reason},
+		count.Label{Key: "class", Value: s.job.Request.Class})
+}
+
+// take handles one note. It returns false where the caller has nothing to see
+// yet.
+func (s *Stream) take(n note) (Step, bool) {
+	if _, ok := s.live[n.attempt]; !ok {
+		return Step{}, false
+	}
+	s.sent = s.sent || n.sent
+	return noteHandlers[n.kind](s, n)
+}
+
+var noteHandlers = map[noteKind]func(*Stream, note) (Step, bool){
+	noteEvent:   (*Stream).takeEvent,
+	noteEnd:     (*Stream).takeEnd,
+	noteFinal:   (*Stream).takeFinal,
+	noteRefused: (*Stream).takeRefused,
+	noteFailed:  (*Stream).takeFailed,
+}
+
+func (s *Stream) takeEvent(n note) (Step, bool) {
+	if s.winner != n.attempt {
+		s.win(n.attempt)
+	}
+	s.delivered += n.event.Tokens
+	return Step{Event: n.event}, true
+}
+
+// win makes an attempt the only one and cancels the others.
+func (s *Stream) win(number int) {
+	if len(s.live) > 1 && number > 0 {
+		s.count("siskinsaddle_hedges_total", "Won")
+	}
+	s.winner = number
+	for other, a := range s.live {
+		if other != number {
+			a.cancel()
+			delete(s.live, other)
+		}
+	}
+}
+
+func (s *Stream) takeEnd(n note) (Step, bool) {
+	if s.winner != n.attempt {
+		s.win(n.attempt)
+	}
+	s.relay.Finished(s.job.Request, s.delivered)
+	return s.finish(Step{End: true}), true
+}
+
+func (s *Stream) takeFinal(n note) (Step, bool) {
+	return s.finish(Step{Final: n.final}), true
+}
+
+func (s *Stream) takeRefused(n note) (Step, bool) {
+	delete(s.live, n.attempt)
+	if len(s.live) > 0 {
+		return Step{}, false
+	}
+	refusal := n.refusal
+	if s.sent {
+		refusal = refusal.WithRan(refuse.RanUnknown)
+	}
+	return s.finish(Step{Refusal: refusal}), true
+}
+
+// takeFailed decides what follows a failed attempt: another attempt that goes
+// on at the offset, or the end.
+func (s *Stream) takeFailed(n note) (Step, bool) {
+	delete(s.live, n.attempt)
+	s.count("siskinsaddle_attempt_failures_total", string(n.cause))
+	if len(s.live) > 0 {
+		return Step{}, false
+	}
+	if n.server != "" {
+		s.avoid = append(s.avoid, n.server)
+	}
+	failure := Failure{
+		Cause:     n.cause,
+		Class:     s.job.Request.Class,
+		Server:    n.server,
+		Attempt:   s.made,
+		Delivered: s.delivered,
+		Deadline:  s.job.Request.GiveUp,
+	}
+	if s.relay.MayRetry(failure) {
+		s.count(retryCounter(s.delivered), string(n.cause))
+		s.winner = -1
+		s.launch()
+		return Step{}, false
+	}
+	refusal := refuse.New(refuse.ReasonBackendFailed).WithText("attempt %d failed: %s", s.made, n.cause)
+	if !s.sent {
+		refusal = refuse.New(refuse.ReasonBackendRefused)
+	}
+	return s.finish(Step{Refusal: refusal}), true
+}
+
+// retryCounter tells a resume, after tokens reached the caller, from a retry.
+func retryCounter(delivered int) string {
+	if delivered > 0 {
+		return "siskinsaddle_resumes_total"
+	}
+	return "siskinsaddle_retries_total"
+}
+
+// attemptID names an attempt towards the scheduler.
+func attemptID(request string, number int) string {
+	return request + "." + strconv.Itoa(number)
+}
--- /dev/null
+++ b/internal/tools/verbs/serve.go
@@ -0,0 +1,104 @@
+package verbs
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/confs"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/stand"
+	"siskinsaddle/internal/plat/amazon"
+	"siskinsaddle/internal/plat/roll"
+	"siskinsaddle/internal/serve/hostd"
+)
+
+func newServe() *cobra.Command {
+	var file string
+	var embedded bool
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Runs one entry host",
+		Long: `Runs one entry host until SIGTERM or an interrupt, then stops without
+cutting off any request in progress.
+
+With --embedded, stand-ins for the model engines, a plain service and the
+platform run in the same process.`,
+		Example: `  siskinsaddle serve --embedded
+  siskinsaddle serve --settings host.hujson`,
+		Args: noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := readSettings(file)
+			if err != nil {
+				return err
+			}
+			return serve(c, s, embedded)
+		},
+	}
+	addSettingsFlag(c, &file)
+	c.Flags().BoolVar(&embedded, "embedded", false, "run stand-ins in the same process")
+	return c
+}
+
+func serve(c *cobra.Command, s confs.Settings, embedded bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	l := logs.New(c.ErrOrStderr(), s.LogLevel)
+	if embedded {
+		st := &stand.Stand{Settings: stand.Embedded()}
+		if err := st.Start(); err != nil {
+			return err
+		}
+		defer st.Stop()
+		l.WithPrefix("standin").Info("Stand-ins run.", "faults", "http://"+st.Address()+"/faults")
+		s = embed(s, st.Platform().Address())
+	}
+	h := newHost(s, l)
+	if err := h.Start(context.Background()); err != nil {
+		return err
+	}
+	l.WithPrefix("host").Info("Takes callers.", "address", h.Address(), "failureDomain", s.FailureDomain)
+	<-ctx.Done()
+	l.WithPrefix("host").Info("Stops; requests in progress finish.")
+	return h.Stop(context.Background())
+}
+
+// embed points a host's settings to the stand-in of the platform.
+func embed(s confs.Settings, platform string) confs.Settings {
+	s.Platform.TableEndpoint = "http://" + platform
+	s.Platform.ObjectEndpoint = "http://" + platform
+	s.Platform.ListAddress = platform
+	s.Platform.AccessKey = "embedded"
+	s.Platform.SecretKey = "embedded"
+	return s
+}
+
+// newHost makes a host that reaches the platform as its settings say.
+func newHost(s confs.Settings, l *log.Logger) *hostd.Host {
+	platform := amazon.Settings{
+		TableEndpoint:  s.Platform.TableEndpoint,
+		ObjectEndpoint: s.Platform.ObjectEndpoint,
+		Region:         s.Platform.Region,
+		AccessKey:      s.Platform.AccessKey,
+		SecretKey:      string(s.Platform.SecretKey),
+		Table:          s.Platform.TableName,
+		Bucket:         s.Platform.Bucket,
+		DialTimeout:    s.Platform.TimeoutMilliseconds,
+		Timeout:        s.Platform.TimeoutMilliseconds,
+	}
+	return &hostd.Host{
+		Settings: s,
+		List:     roll.NewHTTP(s.Platform.ListAddress, s.Platform.TimeoutMilliseconds),
+		Table:    amazon.NewTable(platform),
+		Objects:  amazon.NewObjects(platform),
+		Clock:    clock.System(),
+		Count:    count.NewSet(),
+		Log:      l,
+	}
+}
