Caller side proved under broken streams, crossed answers and bad requests

Cause: the relay's resume, the abandoned-request watch, the graceful stop and the refusals had no test that brings the failure about.

Found: a fresh host said it was ready before it had read the platform's list and refused its first requests with NoServer. Readiness now waits for the list.

Conclusion: a stream resumes at its offset after a crash or a silent connection with the same text.

--- a/internal/fakes/engine/engine.go
+++ b/internal/fakes/engine/engine.go
@@ -82,6 +82,13 @@
 	Tokens    int
 }
 
+// Running returns how many requests the engine has now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.calls)
+}
+
 // call is one request that the batch works on. Tokens has room for the whole
 // answer, so that the batch never waits for a caller.
 type call struct {
--- /dev/null
+++ b/internal/serve/hostd/fault_test.go
@@ -0,0 +1,219 @@
+package hostd_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	openai "github.com/sashabaranov/go-openai"
+
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/fakes/engine"
+	"siskinsaddle/internal/serve/events"
+	"siskinsaddle/internal/serve/refuse"
+)
+
+// engines are the names of the embedded engines.
+var engines = []string{"canvas-llm-1", "canvas-llm-2"}
+
+// open starts a streamed answer of a length.
+func (b *bed) open(ctx context.Context, tokens int) *http.Response {
+	body := fmt.Sprintf(`{"model":"canvas-small","stream":true,"x_tokens":%d,"prompt":"Which filter fits?"}`, tokens)
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+b.host.Address()+"/v1/completions", strings.NewReader(body))
+	b.c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	answer, err := http.DefaultClient.Do(request)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(answer.StatusCode, qt.Equals, http.StatusOK)
+	return answer
+}
+
+// answer collects a whole streamed answer; after is called once the given
+// number of tokens has come.
+func (b *bed) answer(tokens, at int, after func()) (string, error) {
+	answer := b.open(context.Background(), tokens)
+	defer func() { _ = answer.Body.Close() }()
+	reader := events.NewReader(answer.Body)
+	var text strings.Builder
+	for n := 0; ; n++ {
+		if n == at {
+			after()
+		}
+		e, err := reader.Next()
+		if err == io.EOF {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(e.Text)
+	}
+}
+
+// busy returns the engine that runs a request.
+func (b *bed) busy() *engine.Engine {
+	for _, name := range engines {
+		if e := b.stand.Engine(name); e.Running() > 0 {
+			return e
+		}
+	}
+	b.c.Fatal("no engine runs a request")
+	return nil
+}
+
+// A stream that breaks goes on elsewhere at its offset: the caller gets the
+// same answer as without the fault.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	faults := map[string]engine.Faults{
+		"Crash":  {Crash: true},
+		"Silent": {SilentOpen: true},
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			want, err := b.answer(40, -1, nil)
+			b.c.Assert(err, qt.IsNil)
+			got, err := b.answer(40, 10, func() { b.busy().SetFaults(f) })
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(got, qt.Equals, want)
+			b.c.Assert(b.host.Stop(context.Background()), qt.IsNil)
+		})
+	}
+}
+
+// An engine that gives answers under other requests' ids reaches no caller.
+func TestCrossedAnswersReachNobody(t *testing.T) {
+	b := newBed(t)
+	want, err := b.answer(5, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+	b.stand.Engine(engines[0]).SetFaults(engine.Faults{CrossAnswers: true})
+	for range 8 {
+		got, err := b.answer(5, -1, nil)
+		b.c.Assert(err, qt.IsNil)
+		b.c.Assert(got, qt.Equals, want)
+	}
+}
+
+// When a caller leaves, the engine stops working on its request.
+func TestAbandonedRequestIsCancelled(t *testing.T) {
+	b := newBed(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	answer := b.open(ctx, 100_000)
+	defer func() { _ = answer.Body.Close() }()
+	_, err := events.NewReader(answer.Body).Next()
+	b.c.Assert(err, qt.IsNil)
+	e := b.busy()
+	cancel()
+	b.awaits(func() bool { return e.Running() == 0 && b.host.Open() == 0 })
+}
+
+// awaits repeats a look until it holds. The test's own time limit ends it.
+func (b *bed) awaits(holds func() bool) {
+	for !holds() {
+		<-b.host.Clock.After(5)
+	}
+}
+
+// A planned stop cuts off no stream in progress.
+func TestStopFinishesOpenStreams(t *testing.T) {
+	b := newBed(t)
+	stopped := make(chan error, 1)
+	text, err := b.answer(60, 5, func() {
+		go func() { stopped <- b.host.Stop(context.Background()) }()
+	})
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(strings.Fields(text), qt.HasLen, 60)
+	b.c.Assert(<-stopped, qt.IsNil)
+}
+
+// badRequest is one request that is refused.
+type badRequest struct {
+	name   string
+	method string
+	path   string
+	header string
+	body   string
+	reason refuse.Reason
+}
+
+const goodBody = `{"model":"canvas-small","messages":[{"role":"user","content":"x"}]}`
+
+var badRequests = []badRequest{
+	{"bad JSON", "POST", "/v1/chat/completions", "", `{"model":`, refuse.ReasonBadJSON},
+	{"no model", "POST", "/v1/chat/completions", "", `{"messages":[1]}`, refuse.ReasonBadRequest},
+	{"no messages", "POST", "/v1/chat/completions", "", `{"model":"canvas-small"}`, refuse.ReasonBadRequest},
+	{"two choices", "POST", "/v1/completions", "", `{"model":"canvas-small","prompt":"x","n":2}`, refuse.ReasonBadRequest},
+	{"unknown model", "POST", "/v1/chat/completions", "", `{"model":"none","messages":[1]}`, refuse.ReasonUnknownModel},
+	{"unknown class", "POST", "/v1/chat/completions", "X-Class: none\r\n", goodBody, refuse.ReasonUnknownClass},
+	{"no key", "GET", "/v1/models", "Authorization: Basic x\r\n", "", refuse.ReasonNoKey},
+	{"wrong key", "GET", "/v1/models", "Authorization: Bearer none\r\n", "", refuse.ReasonWrongKey},
+	{"unknown path", "GET", "/none", "", "", refuse.ReasonUnknownPath},
+	{"wrong method", "GET", "/v1/chat/completions", "", "", refuse.ReasonUnknownPath},
+	{"unknown service", "GET", "/services/none/x", "", "", refuse.ReasonUnknownService},
+	{"model service", "GET", "/services/canvas-llm/x", "", "", refuse.ReasonUnknownService},
+	{"long header", "GET", "/v1/models", "X-Long: " + strings.Repeat("x", 20_000) + "\r\n", "", refuse.ReasonHeaderTooLarge},
+	{"long body", "POST", "/v1/completions", "Content-Length: 100000000\r\n", "", refuse.ReasonBodyTooLarge},
+	{"slow sender", "POST", "/v1/completions", "Content-Length: 10\r\n", "", refuse.ReasonSlowSender},
+}
+
+// raw sends a request as it stands and reads the answer.
+func (b *bed) raw(r badRequest) *http.Response {
+	conn, err := net.Dial("tcp", b.host.Address())
+	b.c.Assert(err, qt.IsNil)
+	b.c.Cleanup(func() { _ = conn.Close() })
+	header := r.header
+	if !strings.Contains(header, "Authorization") {
+		header += "Authorization: Bearer demo-key\r\n"
+	}
+	if !strings.Contains(header, "Content-Length") {
+		header += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
+	}
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\n%s\r\n%s", r.method, r.path, header, r.body)
+	b.c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	b.c.Assert(err, qt.IsNil)
+	return answer
+}
+
+// Every bad request gets a typed refusal that says "not run", and a counter.
+func TestBadRequestsAreRefused(t *testing.T) {
+	b := newBed(t)
+	for _, r := range badRequests {
+		b.c.Run(r.name, func(c *qt.C) {
+			label := count.Label{Key: "reason", Value: string(r.reason)}
+			before := b.host.Count.Count("siskinsaddle_refused_total", label)
+			answer := b.raw(r)
+			defer func() { _ = answer.Body.Close() }()
+			var refusal struct {
+				Reason                 refuse.Reason
+				Ran                    refuse.Ran
+				RetryAfterMilliseconds int
+			}
+			c.Assert(json.NewDecoder(answer.Body).Decode(&refusal), qt.IsNil)
+			c.Assert(refusal.Reason, qt.Equals, r.reason)
+			c.Assert(refusal.Ran, qt.Equals, refuse.RanNo)
+			c.Assert(answer.StatusCode, qt.Equals, refuse.New(r.reason).Status())
+			c.Assert(b.host.Count.Count("siskinsaddle_refused_total", label), qt.Equals, before+1)
+		})
+	}
+	b.c.Assert(b.host.Open(), qt.Equals, 0)
+}
+
+// An unknown model that an OpenAI client asks for comes back as its API error.
+func TestRefusalIsAnAPIError(t *testing.T) {
+	b := newBed(t)
+	q := question(1)
+	q.Model = "none"
+	_, err := b.client().CreateChatCompletion(context.Background(), q)
+	var failure *openai.APIError
+	b.c.Assert(err, qt.ErrorAs, &failure)
+	b.c.Assert(failure.Code, qt.Equals, "UnknownModel")
+	b.c.Assert(failure.HTTPStatusCode, qt.Equals, 404)
+}
--- a/internal/serve/hostd/groups.go
+++ b/internal/serve/hostd/groups.go
@@ -73,6 +73,7 @@
 		}
 		h.solos[service.Name].setServers(list, addresses)
 	}
+	h.listed.Store(true)
 }
 
 func schedServer(service mfest.Service, e roll.Entry) sched.Server {
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -46,12 +47,14 @@
 	Count    *count.Set
 	Log      *log.Logger
 
-	pool    *ants.Pool
-	client  *wire.Client
-	entry   *entry.Entry
-	index   *mfest.Index
-	solos   map[string]*solo
-	cancel  context.CancelFunc
+	pool   *ants.Pool
+	client *wire.Client
+	entry  *entry.Entry
+	index  *mfest.Index
+	solos  map[string]*solo
+	cancel context.CancelFunc
+	// listed tells that the platform's list was read at least once.
+	listed  atomic.Bool
 	stopped chan struct{}
 }
 
@@ -96,6 +99,11 @@
 	return h.entry.Address()
 }
 
+// Open is how many requests are open.
+func (h *Host) Open() int {
+	return h.entry.Open()
+}
+
 // Stop ends the host in order: readiness fails, the balancer gets its time,
 // new requests are refused, and those in progress finish. Nothing in progress
 // is cut off unless ctx ends.
@@ -119,7 +127,7 @@
 		Relay:    h.newRelay(),
 		Calls:    h.newCalls(),
 		Predict:  func(_, _, _ string, asked int) int { return asked },
-		Ready:    func() bool { return true },
+		Ready:    h.listed.Load,
 		Clock:    h.Clock,
 		Count:    h.Count,
 		Log:      h.Log.WithPrefix("entry"),
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -36,6 +36,8 @@
 	s := confs.Default()
 	s.Callers.Address = "127.0.0.1:0"
 	s.Stop.BalancerMilliseconds = 1
+	s.Callers.SendTimeoutMilliseconds = 300
+	s.Backend.ProgressTimeoutMilliseconds = 300
 	b.host = &hostd.Host{
 		Settings: s,
 		List:     roll.NewHTTP(b.stand.Platform().Address(), clock.Second),
@@ -46,6 +48,10 @@
 		Log:      logs.Discard(),
 	}
 	c.Assert(b.host.Start(context.Background()), qt.IsNil)
+	b.awaits(func() bool {
+		code, _, err := fasthttp.Get(nil, "http://"+b.host.Address()+"/readyz")
+		return err == nil && code == fasthttp.StatusOK
+	})
 	return b
 }
 
