--- a/internal/fakes/batch/batch.go
+++ b/internal/fakes/batch/batch.go
@@ -113,7 +113,9 @@
 	Idle   bool
 	Begins clock.Millis
 	Ends   clock.Millis
-	Tokens []TokenOut
+	// Admitted are the jobs that entered the batch with this iteration.
+	Admitted []string
+	Tokens   []TokenOut
 }
 
 type sequence struct {
@@ -219,12 +221,12 @@
 // Step runs the iteration that begins now. An engine without jobs is Idle.
 // The next step begins at Ends or later.
 func (b *Batch) Step(now clock.Millis) Iteration {
-	b.admit(now)
+	admitted := b.admit(now)
 	if len(b.running) == 0 {
 		b.carry = 0
 		return Iteration{Idle: true, Begins: now, Ends: now}
 	}
-	it := Iteration{Begins: now}
+	it := Iteration{Begins: now, Admitted: admitted}
 	sequences := len(b.running)
 	read := b.read(now)
 	it.Tokens = b.emit()
@@ -233,14 +235,18 @@
 	return it
 }
 
-func (b *Batch) admit(now clock.Millis) {
+// admit fills the batch and returns the ids of the jobs that entered it.
+func (b *Batch) admit(now clock.Millis) []string {
+	var admitted []string
 	for len(b.waiting) > 0 && len(b.running) < b.settings.MaxBatch {
 		s := b.waiting[0]
 		b.waiting = b.waiting[1:]
 		s.unread = s.job.PromptTokens + s.job.Offset - b.cached(now, s.job)
 		s.unread = max(s.unread, 1)
 		b.running = append(b.running, s)
+		admitted = append(admitted, s.job.ID)
 	}
+	return admitted
 }
 
 // cached returns how many tokens of the prompt need not be read.
