Benchmark of the policies in virtual time

Cause: the policy needs measures of its own, on the code of production. Open: the bound on goodput is loose, and keepers do not yet estimate the time to the first token.

--- /dev/null
+++ b/internal/tools/bench/request.go
@@ -0,0 +1,186 @@
+package bench
+
+import (
+	"fmt"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/fakes/batch"
+	"siskinsaddle/internal/policy/sched"
+)
+
+// ending is how a request ended for its caller.
+type ending string
+
+const (
+	endingAnswered ending = "Answered"
+	endingRefused  ending = "Refused"
+	endingBroken   ending = "Broken"
+)
+
+// request is one job on its way through one policy.
+type request struct {
+	*job
+	world   *world
+	number  int
+	tries   int
+	attempt *attempt
+	keeper  *keeper
+	// got is how many tokens have reached the entry host, made how many the
+	// engines made for the request.
+	got     int
+	made    int
+	first   clock.Millis
+	last    clock.Millis
+	gaps    []clock.Millis
+	served  bool
+	ended   ending
+	endedAt clock.Millis
+	reason  sched.Reason
+}
+
+func (r *request) arrive() {
+	r.world.gaps.arrive(r.world.now, r)
+	r.world.router.arrive(r)
+}
+
+// end ends the request once.
+func (r *request) end(how ending, why sched.Reason) {
+	if r.ended != "" {
+		return
+	}
+	r.ended = how
+	r.reason = why
+	r.endedAt = r.world.now
+	r.world.open--
+	r.world.gaps.end(r.world.now, r)
+}
+
+// firstToken is the time from arrival to the first token at the entry host.
+func (r *request) firstToken() clock.Millis { return r.first - r.at }
+
+// betweenTokens is the mean time between tokens.
+func (r *request) betweenTokens() float64 {
+	if r.output < 2 {
+		return 0
+	}
+	return float64(r.last-r.first) / float64(r.output-1)
+}
+
+// attained tells whether the whole answer came within the class's targets.
+func (r *request) attained() bool {
+	return r.ended == endingAnswered &&
+		r.firstToken() <= r.class.FirstTokenMilliseconds &&
+		r.betweenTokens() <= float64(r.class.BetweenTokensMilliseconds)
+}
+
+func (r *request) giveUp() clock.Millis { return r.at + r.class.MaxWaitMilliseconds }
+
+// attempt is one sending of a request to a server.
+type attempt struct {
+	id       string
+	request  *request
+	server   *server
+	priority int
+	offset   int
+	sent     clock.Millis
+	first    clock.Millis
+	// over is true once the entry host no longer listens.
+	over bool
+	// reported and reportedAt are where the last progress report ended.
+	reported   int
+	reportedAt clock.Millis
+}
+
+// send starts an attempt that goes on after the tokens that came so far, or
+// from the beginning.
+func (r *request) send(s *server, priority int, resume bool) {
+	r.tries++
+	a := &attempt{
+		id:       fmt.Sprintf("%s.%d", r.id, r.tries),
+		request:  r,
+		server:   s,
+		priority: priority,
+		sent:     r.world.now,
+		first:    -1,
+	}
+	if resume {
+		a.offset = r.got
+	}
+	a.reported = a.offset
+	r.attempt = a
+	if r.world.cut(r.domain, s.domain) {
+		r.world.after(connectTimeout, a.fail)
+		return
+	}
+	r.world.after(r.world.delay(r.domain, s.domain), func() { s.submit(a) })
+}
+
+// connectTimeout is after what time a host gives a connection up.
+const connectTimeout = 500 * clock.Millis(1)
+
+// token takes one token at the entry host.
+func (a *attempt) token(t batch.TokenOut) {
+	if a.over {
+		return
+	}
+	now := a.request.world.now
+	if a.first < 0 {
+		a.first = now - a.sent
+		a.reportedAt = now
+	}
+	a.request.take(t.Index, now)
+	if t.Last {
+		a.over = true
+		a.request.end(endingAnswered, "")
+		a.request.world.router.done(a)
+	}
+}
+
+func (r *request) take(index int, now clock.Millis) {
+	if index < r.got {
+		return
+	}
+	if r.got == 0 {
+		r.first = now
+	} else {
+		r.gaps = append(r.gaps, now-r.last)
+	}
+	r.got++
+	r.last = now
+}
+
+func (a *attempt) fail() {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.request.world.router.failed(a)
+}
+
+// cancel withdraws an attempt.
+func (a *attempt) cancel() {
+	if a.over {
+		return
+	}
+	a.over = true
+	w := a.request.world
+	w.after(w.delay(a.request.domain, a.server.domain), func() { a.server.cancel(a) })
+}
+
+// progress is what the entry host reports of an attempt, since its last report.
+func (a *attempt) progress() sched.Progress {
+	r := a.request
+	p := sched.Progress{ID: r.id, Tokens: r.got, FirstToken: a.first}
+	if r.got > a.reported && r.last > a.reportedAt {
+		tokens := r.got - a.reported
+		if a.reported == a.offset {
+			tokens--
+		}
+		if tokens > 0 {
+			p.BetweenTokens = float64(r.last-a.reportedAt) / float64(tokens)
+		}
+		a.reported = r.got
+		a.reportedAt = r.last
+	}
+	return p
+}
--- /dev/null
+++ b/internal/tools/bench/world.go
@@ -0,0 +1,118 @@
+package bench
+
+import (
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/fakes/batch"
+)
+
+// world is one run of one policy: servers, entry hosts and the requests on
+// their way, in virtual time.
+type world struct {
+	timeline
+	scenario   Scenario
+	deployment Deployment
+	settings   batch.Settings
+	domains    []Domain
+	servers    []*server
+	cutOff     []bool
+	requests   []*request
+	byID       map[string]*request
+	lengths    *lengths
+	open       int
+	gaps       *gaps
+	traffic    Traffic
+	router     router
+}
+
+// router is a policy: what entry hosts do with a request.
+type router struct {
+	// arrive takes a request that has reached its entry host.
+	arrive func(r *request)
+	// failed takes an attempt whose connection has ended too early.
+	failed func(a *attempt)
+	// done takes an attempt whose last token has reached the host.
+	done func(a *attempt)
+}
+
+// Traffic counts what the system's own processes send each other.
+type Traffic struct {
+	Messages int
+	Bytes    int
+}
+
+func newWorld(s Scenario, d Deployment, jobs []*job) *world {
+	w := &world{
+		scenario:   s,
+		deployment: d,
+		settings:   batchSettings(s, d),
+		domains:    d.Domains,
+		cutOff:     make([]bool, len(d.Domains)),
+		gaps:       newGaps(),
+		byID:       make(map[string]*request, len(jobs)),
+		lengths:    &lengths{known: map[string]float64{}},
+	}
+	for _, p := range d.serverPlaces() {
+		w.servers = append(w.servers, newServer(w, p))
+	}
+	for i, j := range jobs {
+		r := &request{job: j, world: w, number: i}
+		w.requests = append(w.requests, r)
+		w.byID[j.id] = r
+		w.at(j.at, r.arrive)
+	}
+	w.open = len(jobs)
+	w.planFaults(s.Faults)
+	return w
+}
+
+func batchSettings(s Scenario, d Deployment) batch.Settings {
+	return batch.Settings{MaxBatch: d.SlotsPerServer, LoadLag: s.LoadLagMilliseconds}.WithDefaults()
+}
+
+// delay is the one-way delay between two failure domains.
+func (w *world) delay(a, b int) clock.Millis {
+	if a == b {
+		return w.deployment.Network.InDomainMilliseconds
+	}
+	return w.deployment.Network.CrossDomainMilliseconds
+}
+
+// cut tells whether two failure domains are separated.
+func (w *world) cut(a, b int) bool {
+	return a != b && (w.cutOff[a] || w.cutOff[b])
+}
+
+// serversOf returns the servers of a failure domain.
+func (w *world) serversOf(domain int) []*server {
+	var found []*server
+	for _, s := range w.servers {
+		if s.domain == domain {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// every repeats an action while requests are open.
+func (w *world) every(first, period clock.Millis, do func()) {
+	w.at(first, func() {
+		if w.open == 0 {
+			return
+		}
+		do()
+		w.every(w.now+period, period, do)
+	})
+}
+
+// run carries out events until every request has ended, and reports how far
+// virtual time has come.
+func (w *world) run(progress func(now, until clock.Millis)) {
+	step := max(1, w.scenario.DurationMilliseconds/10)
+	shown := step
+	for w.open > 0 && w.next() {
+		if w.now >= shown && w.now <= w.scenario.DurationMilliseconds {
+			progress(w.now, w.scenario.DurationMilliseconds)
+			shown += step
+		}
+	}
+}
--- a/internal/tools/verbs/standin.go
+++ b/internal/tools/verbs/standin.go
@@ -43,7 +43,7 @@
   siskinsaddle standin --settings standin.hujson
   curl http://127.0.0.1:7400/faults
   curl -X POST http://127.0.0.1:7400/faults/canvas-llm-1 -d '{"Slowdown": 4}'`,
-		Args: cobra.NoArgs,
+		Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return f.run(c) },
 	}
 	c.Flags().StringVar(&f.deployment, "deployment", "Embedded", "which servers run: Embedded, Kestrel or Bukal")
@@ -62,7 +62,7 @@
 	}
 	build, ok := deployments[f.deployment]
 	if !ok {
-		return stand.Settings{}, errors.Newf("deployment %q does not exist: Embedded, Kestrel or Bukal", f.deployment)
+		return stand.Settings{}, wrongUse(errors.Newf("deployment %q does not exist: Embedded, Kestrel or Bukal", f.deployment))
 	}
 	s := build()
 	if f.port == 0 {
