--- a/internal/policy/sched/class.go
+++ b/internal/policy/sched/class.go
@@ -6,8 +6,8 @@
 	"siskinsaddle/internal/base/clock"
 )
 
-// defaultFloorPeriod holds for a class that declares none.
-const defaultFloorPeriod = 10 * clock.Second
+// DefaultFloorPeriod holds for a class that declares none.
+const DefaultFloorPeriod = 10 * clock.Second
 
 // class is the waiting work of one class.
 type class struct {
@@ -28,7 +28,7 @@
 
 func newClass(c Class, t *tier) *class {
 	if c.FloorPeriod <= 0 {
-		c.FloorPeriod = defaultFloorPeriod
+		c.FloorPeriod = DefaultFloorPeriod
 	}
 	n := &class{Class: c, tier: t, byKey: map[laneKey]*lane{}, backlogs: map[string]*backlog{}}
 	n.heaviest.less = heavier
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -69,7 +69,7 @@
 	for _, e := range g.waiting {
 		waiting = append(waiting, e)
 	}
-	slices.SortFunc(waiting, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	slices.SortFunc(waiting, bySequence)
 	before := g.classes
 	for _, e := range waiting {
 		g.remove(e)
@@ -91,7 +91,8 @@
 }
 
 // SetServers replaces the list of servers. What runs on a server that is no
-// longer named goes on until it is released.
+// longer named goes on until it is released, and counts again if the server
+// comes back before.
 func (g *Group) SetServers(now clock.Millis, list []Server) {
 	before := g.byName
 	g.byName = make(map[string]*server, len(list))
@@ -107,6 +108,12 @@
 		g.servers = append(g.servers, s)
 	}
 	slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
+	for name, s := range before {
+		if g.byName[name] == nil && s.running > 0 {
+			s.State = ServerDown
+			g.byName[name] = s
+		}
+	}
 	g.advance(now)
 	g.refuseUnserved()
 	g.requeueAvoiding(now)
@@ -116,7 +123,6 @@
 // Offer adds a waiting request. One that is known already keeps its place; if
 // it runs, its grant is repeated.
 func (g *Group) Offer(now clock.Millis, r Request) {
-	g.advance(now)
 	if _, ok := g.waiting[r.ID]; ok {
 		return
 	}
@@ -129,6 +135,7 @@
 		return
 	}
 	if r.Spilled {
+		g.advance(now)
 		g.offerSpilled(now, r)
 		return
 	}
@@ -138,6 +145,7 @@
 		e.startBy -= g.settings.FirstToken(r)
 	}
 	g.add(now, e)
+	g.advance(now)
 	g.dispatch(now)
 	g.bound(e)
 	g.shedHopeless(now)
@@ -146,9 +154,9 @@
 // Cancel withdraws a request that waits, or frees the slot of one that was
 // granted.
 func (g *Group) Cancel(now clock.Millis, id string) {
-	g.advance(now)
 	if e, ok := g.waiting[id]; ok {
 		g.remove(e)
+		g.advance(now)
 		return
 	}
 	g.Release(now, Done{Progress: Progress{ID: id}, Outcome: OutcomeCancelled})
@@ -185,6 +193,7 @@
 	s := g.byName[name]
 	if s == nil {
 		s = &server{Server: Server{Name: name, State: ServerDown}}
+		g.byName[name] = s
 	}
 	g.start(now, r, s)
 }
--- /dev/null
+++ b/internal/policy/sched/naive_test.go
@@ -0,0 +1,354 @@
+package sched_test
+
+import (
+	"math"
+	"slices"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/sched"
+)
+
+// naive is the scheduler's rules written down as scans over everything. It is
+// slow and has no structure that could be out of date.
+type naive struct {
+	settings sched.Settings
+	servers  []sched.Server
+	waiting  []naiveEntry
+	running  []naiveEntry
+	unserved map[string]clock.Millis
+	hold     map[string]float64
+	out      []sched.Decision
+}
+
+type naiveEntry struct {
+	sched.Request
+	server  string
+	granted clock.Millis
+	long    bool
+}
+
+func (n *naive) class(name string) sched.Class {
+	at := slices.IndexFunc(n.settings.Classes, func(c sched.Class) bool { return c.Name == name })
+	return n.settings.Classes[at]
+}
+
+func (n *naive) weight(workspace string) int {
+	for _, w := range n.settings.Workspaces {
+		if w.Name == workspace {
+			return w.Weight
+		}
+	}
+	return 1
+}
+
+func count(list []naiveEntry, match func(naiveEntry) bool) int {
+	total := 0
+	for _, e := range list {
+		if match(e) {
+			total++
+		}
+	}
+	return total
+}
+
+func (n *naive) waitingIn(class string) int {
+	return count(n.waiting, func(e naiveEntry) bool { return e.Class == class })
+}
+
+func (n *naive) serves(s sched.Server, model string) bool {
+	return (s.State == sched.ServerUp || s.State == sched.ServerSuspect) && slices.Contains(s.Models, model)
+}
+
+func (n *naive) fits(s sched.Server, e naiveEntry, floor bool) bool {
+	running := count(n.running, func(r naiveEntry) bool { return r.server == s.Name })
+	long := count(n.running, func(r naiveEntry) bool { return r.server == s.Name && r.long })
+	free := s.Slots - running
+	otherServes := slices.ContainsFunc(n.servers, func(o sched.Server) bool {
+		return n.serves(o, e.Model) && !slices.Contains(e.Avoid, o.Name)
+	})
+	switch {
+	case s.State != sched.ServerUp || free <= 0 || !slices.Contains(s.Models, e.Model):
+		return false
+	case e.long && long >= max(1, int(n.settings.LongShare*float64(s.Slots))):
+		return false
+	case !floor && n.class(e.Class).Tier > n.settings.Headroom.Tier && free <= n.settings.Headroom.Slots:
+		return false
+	}
+	return !otherServes || !slices.Contains(e.Avoid, s.Name)
+}
+
+// server returns the name of the freest server that fits, "" for none.
+func (n *naive) server(e naiveEntry, floor bool) string {
+	best, most := "", 0.0
+	for _, s := range n.servers {
+		running := count(n.running, func(r naiveEntry) bool { return r.server == s.Name })
+		free := float64(s.Slots-running) / float64(s.Slots)
+		if n.fits(s, e, floor) && free > most {
+			best, most = s.Name, free
+		}
+	}
+	return best
+}
+
+func (n *naive) over(e naiveEntry) bool {
+	tier := n.class(e.Class).Tier
+	inTier := func(o naiveEntry) bool { return n.class(o.Class).Tier == tier }
+	mine := count(n.running, func(o naiveEntry) bool { return inTier(o) && o.Workspace == e.Workspace })
+	total := count(n.running, inTier)
+	weights := 0
+	seen := map[string]bool{}
+	for _, o := range slices.Concat(n.running, n.waiting) {
+		if inTier(o) && !seen[o.Workspace] {
+			seen[o.Workspace] = true
+			weights += n.weight(o.Workspace)
+		}
+	}
+	return mine*weights >= (total+1)*n.weight(e.Workspace)
+}
+
+// first returns the index of the entry to serve first among those that match
+// and fit, -1 for none.
+func (n *naive) first(now clock.Millis, floor bool, match func(naiveEntry) bool) int {
+	best := -1
+	for i, e := range n.waiting {
+		if !match(e) || n.server(e, floor) == "" {
+			continue
+		}
+		if best < 0 || n.before(now, e, n.waiting[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// before compares two entries; a later one in the list is a in the call, so
+// equal ones keep their order, or reverse it when late.
+func (n *naive) before(now clock.Millis, a, b naiveEntry) bool {
+	if x, y := n.over(a), n.over(b); x != y {
+		return y
+	}
+	x, y := a.Deadline < now, b.Deadline < now
+	if x != y {
+		return y
+	}
+	if x {
+		return a.Deadline >= b.Deadline
+	}
+	return a.Deadline < b.Deadline
+}
+
+func (n *naive) grant(now clock.Millis, at int, floor bool) {
+	e := n.waiting[at]
+	e.server, e.granted = n.server(e, floor), now
+	n.waiting = slices.Delete(n.waiting, at, at+1)
+	n.running = append(n.running, e)
+	n.unserved[e.Class] = now
+	n.out = append(n.out, sched.Decision{ID: e.ID, Kind: sched.DecisionGrant, Server: e.server, Floor: floor})
+}
+
+func (n *naive) refuse(at int, why sched.Reason) {
+	e := n.waiting[at]
+	n.waiting = slices.Delete(n.waiting, at, at+1)
+	n.refuseRequest(e.Request, why)
+}
+
+func (n *naive) refuseRequest(r sched.Request, why sched.Reason) {
+	wait := n.estimate(n.class(r.Class).Tier)
+	if wait > 0 {
+		wait = min(30_000, max(250, wait))
+	}
+	n.out = append(n.out, sched.Decision{ID: r.ID, Kind: sched.DecisionRefuse, Reason: why, RetryAfter: wait})
+}
+
+func (n *naive) estimate(tier int) clock.Millis {
+	work, slots := 0.0, 0
+	for _, c := range n.settings.Classes {
+		if c.Tier <= tier {
+			work += float64(n.waitingIn(c.Name)) * n.hold[c.Name]
+		}
+	}
+	for _, s := range n.servers {
+		if s.State == sched.ServerUp {
+			slots += s.Slots
+		}
+	}
+	return clock.Millis(work / float64(max(1, slots)))
+}
+
+func (n *naive) grantFloor(now clock.Millis) bool {
+	best, end := -1, clock.Millis(math.MaxInt64)
+	for _, c := range n.settings.Classes {
+		since := n.unserved[c.Name]
+		if n.waitingIn(c.Name) == 0 || now-since < c.FloorPeriod/2 || since+c.FloorPeriod >= end {
+			continue
+		}
+		if at := n.first(now, true, func(e naiveEntry) bool { return e.Class == c.Name }); at >= 0 {
+			best, end = at, since+c.FloorPeriod
+		}
+	}
+	if best >= 0 {
+		n.grant(now, best, true)
+	}
+	return best >= 0
+}
+
+func (n *naive) grantTier(now clock.Millis) bool {
+	for tier := 1; tier <= 5; tier++ {
+		if at := n.first(now, false, func(e naiveEntry) bool { return n.class(e.Class).Tier == tier }); at >= 0 {
+			n.grant(now, at, false)
+			return true
+		}
+	}
+	return false
+}
+
+// lowest returns the class that sheds next, "" for none.
+func (n *naive) lowest() string {
+	best := sched.Class{}
+	for _, c := range n.settings.Classes {
+		w := n.waitingIn(c.Name)
+		if w > 1 && (c.Tier > best.Tier || c.Tier == best.Tier && w > n.waitingIn(best.Name)) {
+			best = c
+		}
+	}
+	return best.Name
+}
+
+// victim returns the index of the entry that the class loses.
+func (n *naive) victim(now clock.Millis, class string) int {
+	heaviest, most := "", -1.0
+	for _, e := range n.waiting {
+		per := float64(count(n.waiting, func(o naiveEntry) bool { return o.Class == class && o.Workspace == e.Workspace })) / float64(n.weight(e.Workspace))
+		if e.Class == class && (per > most || per == most && e.Workspace < heaviest) {
+			heaviest, most = e.Workspace, per
+		}
+	}
+	oldest, newest := -1, -1
+	for i, e := range n.waiting {
+		if e.Class != class || e.Workspace != heaviest {
+			continue
+		}
+		if e.Deadline < now && (oldest < 0 || e.Deadline < n.waiting[oldest].Deadline) {
+			oldest = i
+		}
+		if newest < 0 || e.Deadline >= n.waiting[newest].Deadline {
+			newest = i
+		}
+	}
+	if oldest >= 0 {
+		return oldest
+	}
+	return newest
+}
+
+func (n *naive) advance(now clock.Millis) {
+	for {
+		first := -1
+		for i, e := range n.waiting {
+			if e.GiveUp <= now && (first < 0 || e.GiveUp < n.waiting[first].GiveUp) {
+				first = i
+			}
+		}
+		if first < 0 {
+			return
+		}
+		n.refuse(first, sched.ReasonExpired)
+	}
+}
+
+func (n *naive) settle(now clock.Millis, offered string) {
+	n.advance(now)
+	for n.grantFloor(now) || n.grantTier(now) {
+	}
+	if offered != "" {
+		n.bound(now, n.class(offered))
+	}
+	for low := n.lowest(); low != ""; low = n.lowest() {
+		at := n.victim(now, low)
+		e := n.waiting[at]
+		if e.Deadline >= now || now+n.estimate(n.class(low).Tier) <= e.GiveUp {
+			return
+		}
+		n.refuse(at, sched.ReasonShed)
+	}
+}
+
+func (n *naive) bound(now clock.Millis, c sched.Class) {
+	total, low := 0, n.lowest()
+	for _, d := range n.settings.Classes {
+		total += d.MaxWaiting
+	}
+	switch {
+	case low == "":
+	case len(n.waiting) > total:
+		n.refuse(n.victim(now, low), sched.ReasonShed)
+	case n.waitingIn(c.Name) > c.MaxWaiting && n.class(low).Tier <= c.Tier:
+		n.refuse(n.victim(now, c.Name), sched.ReasonShed)
+	}
+}
+
+func (n *naive) offer(now clock.Millis, r sched.Request) {
+	if !slices.ContainsFunc(n.servers, func(s sched.Server) bool { return n.serves(s, r.Model) }) {
+		n.refuseRequest(r, sched.ReasonNoServer)
+		return
+	}
+	if n.waitingIn(r.Class) == 0 {
+		n.unserved[r.Class] = now
+	}
+	n.waiting = append(n.waiting, naiveEntry{Request: r, long: r.PredictedTokens >= n.settings.LongTokens})
+	n.settle(now, r.Class)
+}
+
+func (n *naive) setServers(now clock.Millis, list []sched.Server) {
+	n.servers = list
+	n.advance(now)
+	for i := 0; i < len(n.waiting); {
+		if slices.ContainsFunc(list, func(s sched.Server) bool { return n.serves(s, n.waiting[i].Model) }) {
+			i++
+			continue
+		}
+		n.refuse(i, sched.ReasonNoServer)
+	}
+	for n.grantFloor(now) || n.grantTier(now) {
+	}
+}
+
+func (n *naive) progress(now clock.Millis, p sched.Progress) {
+	for i := range n.running {
+		if n.running[i].ID == p.ID {
+			n.running[i].long = n.running[i].long || p.Tokens >= n.settings.LongTokens
+		}
+	}
+	n.settle(now, "")
+}
+
+func (n *naive) release(now clock.Millis, id string) {
+	at := slices.IndexFunc(n.running, func(e naiveEntry) bool { return e.ID == id })
+	if at < 0 {
+		return
+	}
+	e := n.running[at]
+	n.running = slices.Delete(n.running, at, at+1)
+	if n.hold[e.Class] == 0 {
+		n.hold[e.Class] = float64(now - e.granted)
+	} else {
+		n.hold[e.Class] += 0.1 * (float64(now-e.granted) - n.hold[e.Class])
+	}
+	n.settle(now, "")
+}
+
+func (n *naive) cancel(now clock.Millis, id string) {
+	at := slices.IndexFunc(n.waiting, func(e naiveEntry) bool { return e.ID == id })
+	if at < 0 {
+		n.release(now, id)
+		return
+	}
+	n.waiting = slices.Delete(n.waiting, at, at+1)
+	n.advance(now)
+}
+
+func (n *naive) take() []sched.Decision {
+	out := n.out
+	n.out = nil
+	return out
+}
--- a/internal/policy/sched/unserved.go
+++ b/internal/policy/sched/unserved.go
@@ -1,28 +1,42 @@
 package sched
 
-import "siskinsaddle/internal/base/clock"
+import (
+	"cmp"
+	"slices"
 
-// refuseUnserved refuses what no server of the group can run any more.
+	"siskinsaddle/internal/base/clock"
+)
+
+// refuseUnserved refuses what no server of the group can run any more, in the
+// order of arrival.
 func (g *Group) refuseUnserved() {
+	var unserved []*entry
 	for _, t := range g.tiers {
 		for _, c := range t.classes {
-			for i := len(c.lanes) - 1; i >= 0; i-- {
-				if !g.anyServes(c.lanes[i].model) {
-					g.refuseLane(c.lanes[i])
-				}
-			}
+			unserved = g.appendUnserved(unserved, c)
 		}
 	}
-}
-
-func (g *Group) refuseLane(l *lane) {
-	for l.queues.Len() > 0 {
-		e := l.queues.top().head()
+	slices.SortFunc(unserved, bySequence)
+	for _, e := range unserved {
 		g.remove(e)
 		g.refuse(e.Request, ReasonNoServer)
 	}
 }
 
+func (g *Group) appendUnserved(to []*entry, c *class) []*entry {
+	for _, l := range c.lanes {
+		if g.anyServes(l.model) {
+			continue
+		}
+		for _, q := range l.queues.items {
+			to = append(to, q.entries...)
+		}
+	}
+	return to
+}
+
+func bySequence(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) }
+
 // requeueAvoiding finds new lanes for requests that avoid servers: those may
 // be all that is left.
 func (g *Group) requeueAvoiding(now clock.Millis) {
