--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -24,6 +24,9 @@
 	Prefix uint64
 	// Spilled tells that the request comes from another failure domain.
 	Spilled bool
+	// NotRepeatable tells that the request may be sent once only, so that it
+	// is not used to probe a slow server.
+	NotRepeatable bool
 	// Avoid names servers that have just failed this request.
 	Avoid []string
 }
--- /dev/null
+++ b/internal/policy/spill/spill_test.go
@@ -0,0 +1,39 @@
+package spill_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/policy/spill"
+)
+
+func TestChoose(t *testing.T) {
+	c := quicktest.New(t)
+	p := spill.New(spill.Settings{Reserve: 0.25, OutShare: 0.05})
+	ask := spill.Ask{Request: sched.Request{Deadline: 300}, Local: sched.Digest{WaitEstimate: 2_000}, Slots: 40}
+	c.Check(p.Choose(0, ask), quicktest.Equals, "")
+	p.Heard(0, "b", sched.Digest{FreeSlots: 20}, 40)
+	p.Heard(0, "c", sched.Digest{FreeSlots: 10}, 40)
+	c.Check(p.Choose(0, ask), quicktest.Equals, "b")
+	p.Sent("b")
+	p.Refused(0, "b")
+	c.Check(p.Choose(499, ask), quicktest.Equals, "", quicktest.Commentf("b refused, c has its reserve only"))
+	c.Check(p.Choose(500, ask), quicktest.Equals, "b")
+	p.Sent("b")
+	p.Refused(500, "b")
+	c.Check(p.Choose(1_400, ask), quicktest.Equals, "", quicktest.Commentf("the pause doubles"))
+	c.Check(p.Choose(1_500, ask), quicktest.Equals, "b")
+	p.Sent("b")
+	p.Sent("b")
+	c.Check(p.Choose(1_500, ask), quicktest.Equals, "", quicktest.Commentf("two of 40 slots are elsewhere"))
+	p.Ended("b")
+	c.Check(p.Choose(1_500, ask), quicktest.Equals, "b")
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("the digest is old"))
+	p.Heard(2_001, "b", sched.Digest{FreeSlots: 20}, 40)
+	ask.Request.Spilled = true
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("spilled once already"))
+	ask.Request.Spilled, ask.Local.WaitEstimate, ask.Request.Deadline = false, 100, 2_200
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("in time here"))
+}
