--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -120,6 +120,22 @@
 	g.dispatch(now)
 }
 
+// SetWeight leaves a server this share of its slots, from 0 to 1, and at least
+// one. It counts from the next step on.
+func (g *Group) SetWeight(name string, weight float64) {
+	if s := g.byName[name]; s != nil {
+		s.slots.weight = weight
+	}
+}
+
+// Running is how many requests run on a server.
+func (g *Group) Running(name string) int {
+	if s := g.byName[name]; s != nil {
+		return s.running
+	}
+	return 0
+}
+
 // Offer adds a waiting request. One that is known already keeps its place; if
 // it runs, its grant is repeated.
 func (g *Group) Offer(now clock.Millis, r Request) {
--- a/internal/policy/sched/slots.go
+++ b/internal/policy/sched/slots.go
@@ -22,16 +22,23 @@
 type slots struct {
 	most    int
 	current float64
+	// weight is the share of the limit that a slow server keeps.
+	weight float64
 	// ratio is the smoothed time between tokens over its target.
 	ratio   float64
 	changed clock.Millis
 }
 
 func newSlots(most int, now clock.Millis) slots {
-	return slots{most: most, current: float64(most), changed: now}
+	return slots{most: most, current: float64(most), weight: 1, changed: now}
 }
 
-func (s *slots) limit() int { return int(s.current) }
+func (s *slots) limit() int {
+	if s.most == 0 {
+		return 0
+	}
+	return max(1, int(s.current*s.weight))
+}
 
 // resize takes a new number of slots and keeps the limit's share of it.
 func (s *slots) resize(most int) {
--- a/internal/policy/speed/speed.go
+++ b/internal/policy/speed/speed.go
@@ -52,6 +52,9 @@
 // Tracker holds the timings of some backend servers. Take New; it is not safe
 // for concurrent use.
 type Tracker struct {
+	// ReportLag is how late in milliseconds the news of a first token may be.
+	ReportLag clock.Millis
+
 	servers map[string]*server
 	names   []string
 	first   line
@@ -180,7 +183,7 @@
 	}
 	for _, o := range s.open {
 		expected := max(1, t.first.at(float64(o.prompt)))
-		worst = max(worst, float64(now-o.at)/expected/overdue)
+		worst = max(worst, float64(now-o.at-t.ReportLag)/expected/overdue)
 	}
 	return worst
 }
