--- a/internal/fakes/wire/wire.go
+++ b/internal/fakes/proxy/proxy.go
@@ -1,15 +1,15 @@
-// Package wire is a TCP relay between two ends under test. It can drop what it
+// Package proxy is a TCP relay between two ends under test. It can drop what it
 // relays without telling either end, as a middle box does that has lost track
 // of its connections.
 //
 // # Usage
 //
-//	r, err := wire.New("127.0.0.1:7301")
+//	r, err := proxy.New("127.0.0.1:7301")
 //	defer r.Close()
 //	dial(r.Addr())
 //	r.SilenceOpen()    // connections of now carry nothing any more, new ones work
 //	r.SetAllSilent(true) // new ones are accepted and carry nothing either
-package wire
+package proxy
 
 import (
 	"net"
@@ -18,8 +18,8 @@
 
 const bufferBytes = 16 << 10
 
-// Relay passes bytes between those who dial Addr and the target.
-type Relay struct {
+// Proxy passes bytes between those who dial Addr and the target.
+type Proxy struct {
 	target   string
 	listener net.Listener
 
@@ -35,21 +35,21 @@
 }
 
 // New opens a relay on a loopback port that the system chooses.
-func New(target string) (*Relay, error) {
+func New(target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, listener: listener, pairs: map[*pair]struct{}{}}
+	r := &Proxy{target: target, listener: listener, pairs: map[*pair]struct{}{}}
 	go r.accept()
 	return r, nil
 }
 
 // Addr returns the "IP:port" to dial.
-func (r *Relay) Addr() string { return r.listener.Addr().String() }
+func (r *Proxy) Addr() string { return r.listener.Addr().String() }
 
 // SilenceOpen makes every open connection swallow what either end sends.
-func (r *Relay) SilenceOpen() {
+func (r *Proxy) SilenceOpen() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
@@ -58,7 +58,7 @@
 }
 
 // SetAllSilent makes open connections silent and decides whether new ones are.
-func (r *Relay) SetAllSilent(silent bool) {
+func (r *Proxy) SetAllSilent(silent bool) {
 	r.mu.Lock()
 	r.allSilent = silent
 	r.mu.Unlock()
@@ -68,7 +68,7 @@
 }
 
 // Close ends the relay and its connections.
-func (r *Relay) Close() {
+func (r *Proxy) Close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -77,7 +77,7 @@
 	}
 }
 
-func (r *Relay) accept() {
+func (r *Proxy) accept() {
 	for {
 		near, err := r.listener.Accept()
 		if err != nil {
@@ -92,7 +92,7 @@
 	}
 }
 
-func (r *Relay) relay(p *pair) {
+func (r *Proxy) relay(p *pair) {
 	r.mu.Lock()
 	p.silent = r.allSilent
 	r.pairs[p] = struct{}{}
@@ -101,7 +101,7 @@
 	go r.pass(p, p.far, p.near)
 }
 
-func (r *Relay) pass(p *pair, from, to net.Conn) {
+func (r *Proxy) pass(p *pair, from, to net.Conn) {
 	defer r.forget(p)
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -119,7 +119,7 @@
 }
 
 // forget ends a pair. A silent one hides the end from the other side.
-func (r *Relay) forget(p *pair) {
+func (r *Proxy) forget(p *pair) {
 	if p.isSilent() {
 		return
 	}
