Retries, hedges and predicted lengths follow the policy packages

Cause: the relay retried by a bare attempt count, never hedged, and took the caller's max_tokens for the expected length, so that every client with a large default would count as long work.

Change: failures go through the table of rules in policy/retry; a restart is paid from the budget, a resume and an attempt of which nothing was sent are not. A hedge waits for the observed first-token quantile after the grant. The request carries MaxTokens; the keeper's learnt length is bounded by it.

Before and after: all tests of internal/serve and internal/policy pass with the race detector; no latency was measured for this change. Conclusion: the host side no longer decides on its own.

--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -123,6 +123,9 @@
 		key := learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model}
 		r.PredictedTokens = d.lengths.Quantile(key, lengthQuantile)
 	}
+	if r.MaxTokens > 0 {
+		r.PredictedTokens = min(r.PredictedTokens, r.MaxTokens)
+	}
 	return r
 }
 
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -20,6 +20,8 @@
 	// PromptTokens and PredictedTokens are lengths in tokens.
 	PromptTokens    int
 	PredictedTokens int
+	// MaxTokens is the longest answer that the caller allows, 0 for any.
+	MaxTokens int
 	// Prefix names the prompt's beginning for prefix affinity, 0 for none.
 	Prefix uint64
 	// Spilled tells that the request comes from another failure domain.
--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -187,22 +187,20 @@
 	}
 }
 
-// again decides on one more attempt. A call of which nothing was sent may go
-// to another server whatever it is; any other only if it is repeatable.
+// again decides on one more attempt.
 func (c *Calls) again(call Call, tried Tried, grant relay.Grant, number int) bool {
-	if tried.Sent != wire.SentNothing && !call.Repeatable {
-		return false
-	}
 	cause := relay.CauseBroken
 	if tried.Sent == wire.SentNothing {
 		cause = relay.CauseUnreachable
 	}
 	ok := c.MayRetry(relay.Failure{
-		Cause:    cause,
-		Class:    call.Request.Class,
-		Server:   grant.Server,
-		Attempt:  number,
-		Deadline: call.Request.GiveUp,
+		Cause:      cause,
+		Class:      call.Request.Class,
+		Server:     grant.Server,
+		Attempt:    number,
+		GiveUp:     call.Request.GiveUp,
+		Sent:       tried.Sent,
+		Repeatable: call.Repeatable,
 	})
 	if ok {
 		c.Count.Add("siskinsaddle_retries_total", 1,
--- a/internal/serve/entry/chats.go
+++ b/internal/serve/entry/chats.go
@@ -76,7 +76,7 @@
 	request := e.request(v, service)
 	request.Model = a.Model
 	request.PromptTokens = a.promptTokens()
-	request.PredictedTokens = e.Predict(v.workspace.Name, v.class.Name, a.Model, a.limit())
+	request.MaxTokens = a.limit()
 	request.Prefix = a.prefix(v.workspace.Name)
 	return relay.Job{Request: request, Tier: v.class.Tier, Path: path, Body: body}, a, nil
 }
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -53,8 +53,6 @@
 	View     func() View
 	Relay    *relay.Relay
 	Calls    *calls.Calls
-	// Predict returns the expected length of an answer in tokens.
-	Predict func(workspace, class, model string, asked int) int
 	// Ready tells whether the host's other parts are ready.
 	Ready func() bool
 	Clock clock.Clock
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -52,6 +52,7 @@
 	entry  *entry.Entry
 	index  *mfest.Index
 	solos  map[string]*solo
+	tries  *tries
 	cancel context.CancelFunc
 	// listed tells that the platform's list was read at least once.
 	listed  atomic.Bool
@@ -75,6 +76,7 @@
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
 	}
 	h.startSolos()
+	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts, h.index)
 	h.entry = h.newEntry()
 	if err := h.entry.Listen(); err != nil {
 		return err
@@ -126,7 +128,6 @@
 		View:     func() entry.View { return entry.View{Index: h.index, Generation: 1} },
 		Relay:    h.newRelay(),
 		Calls:    h.newCalls(),
-		Predict:  func(_, _, _ string, asked int) int { return asked },
 		Ready:    h.listed.Load,
 		Clock:    h.Clock,
 		Count:    h.Count,
@@ -140,10 +141,11 @@
 		Progress:     h.progress,
 		Done:         h.done,
 		Send:         h.client.Do,
-		MayRetry:     h.mayRetry,
-		HedgeAfter:   func(sched.Request) clock.Millis { return 0 },
-		MayHedge:     func(string) bool { return false },
-		Finished:     func(sched.Request, int) {},
+		MayRetry:     h.tries.mayRetry,
+		HedgeAfter:   h.tries.hedgeAfter,
+		MayHedge:     h.tries.mayHedge,
+		FirstToken:   h.tries.firstToken,
+		Finished:     func(sched.Request) { h.tries.succeeded() },
 		FirstTimeout: h.Settings.Backend.FirstTimeoutMilliseconds,
 		Clock:        h.Clock,
 		Count:        h.Count,
@@ -156,7 +158,7 @@
 		Ask:            h.ask,
 		Done:           h.done,
 		Send:           h.client.Do,
-		MayRetry:       h.mayRetry,
+		MayRetry:       h.tries.mayRetry,
 		Keyed:          h.keyed,
 		FirstTimeout:   h.Settings.Backend.FirstTimeoutMilliseconds,
 		MaxAnswerBytes: h.Settings.Backend.MaxAnswerBytes,
@@ -165,13 +167,6 @@
 	}
 }
 
-func (h *Host) mayRetry(f relay.Failure) bool {
-	if f.Attempt >= h.Settings.Backend.MaxAttempts {
-		return false
-	}
-	return f.Delivered > 0 || h.Clock.Now() < f.Deadline
-}
-
 // keyed sends once.
 func (h *Host) keyed(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
 	tried := send(ctx, c.Method, c.Path, 0)
--- /dev/null
+++ b/internal/serve/hostd/tries.go
@@ -0,0 +1,110 @@
+package hostd
+
+import (
+	"sync"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/retry"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/relay"
+	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/mfest"
+)
+
+const (
+	// savedRetries and savedHedges bound what a budget saves up.
+	savedRetries = 100
+	savedHedges  = 20
+)
+
+// tries holds the host's budgets for retries and hedges.
+type tries struct {
+	clock       clock.Clock
+	maxAttempts int
+	mu          sync.Mutex
+	budget      *retry.Budget
+	// hedges has an entry for each service that hedges.
+	hedges map[string]*retry.Hedge
+}
+
+func newTries(c clock.Clock, maxAttempts int, x *mfest.Index) *tries {
+	t := &tries{clock: c, maxAttempts: maxAttempts}
+	t.govern(x)
+	return t
+}
+
+// govern puts the manifest's shares in force.
+func (t *tries) govern(x *mfest.Index) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budget = retry.NewBudget(x.Manifest.Limits.RetryShare, savedRetries)
+	t.hedges = map[string]*retry.Hedge{}
+	for _, s := range x.Manifest.Services {
+		if s.HedgeShare > 0 {
+			t.hedges[s.Name] = retry.NewHedge(s.HedgeShare, savedHedges)
+		}
+	}
+}
+
+func (t *tries) succeeded() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budget.Succeeded()
+}
+
+var sentNames = map[wire.Sent]retry.Sent{
+	wire.SentNothing: retry.SentNothing,
+	wire.SentMaybe:   retry.SentPart,
+	wire.SentAll:     retry.SentWhole,
+}
+
+// mayRetry decides on one more attempt. A request of which nothing was sent,
+// and a stream that is resumed, put no work on the servers twice, so only a
+// restart is paid from the budget.
+func (t *tries) mayRetry(f relay.Failure) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rule := retry.Decide(retry.Facts{
+		MayRepeat: f.Repeatable,
+		Sent:      sentNames[f.Sent],
+		Reached:   f.Delivered > 0,
+		Resumable: f.Cause != relay.CauseNoResume,
+	})
+	switch {
+	case !rule.Action.Sends() || f.Attempt >= t.maxAttempts:
+		return false
+	case f.Delivered > 0:
+		return true
+	case !retry.InTime(t.clock.Now(), 0, f.GiveUp):
+		return false
+	case f.Sent == wire.SentNothing:
+		return true
+	}
+	return t.budget.Take()
+}
+
+func (t *tries) hedgeAfter(r sched.Request) clock.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.hedges[r.Service]
+	if !ok {
+		return 0
+	}
+	return h.Delay(r.Class, r.Model)
+}
+
+func (t *tries) mayHedge(r sched.Request, granted clock.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	facts := retry.Facts{MayRepeat: true, Sent: retry.SentWhole}
+	h, ok := t.hedges[r.Service]
+	return ok && h.Start(t.clock.Now(), granted, r.GiveUp, r.Class, r.Model, facts)
+}
+
+func (t *tries) firstToken(r sched.Request, took clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, ok := t.hedges[r.Service]; ok {
+		h.FirstToken(r.Class, r.Model, took)
+	}
+}
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +25,7 @@
 type noteKind string
 
 const (
+	noteGranted noteKind = "Granted"
 	noteEvent   noteKind = "Event"
 	noteEnd     noteKind = "End"
 	noteFinal   noteKind = "Final"
@@ -42,8 +42,10 @@
 	final   *Final
 	cause   Cause
 	server  string
-	// sent tells that something may have reached the backend server.
-	sent bool
+	// sent tells that something may have reached the backend server, sentAs
+	// how much.
+	sent   bool
+	sentAs wire.Sent
 }
 
 // attempt is one try of a request.
@@ -54,9 +56,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	avoid  []string
-	server atomic.Value
 	grant  Grant
-	sent   bool
+	sent   wire.Sent
 
 	tokens     int
 	started    clock.Millis
@@ -66,12 +67,6 @@
 	reported   int
 }
 
-// granted returns the server of the attempt's grant, empty before the grant.
-func (a *attempt) granted() string {
-	server, _ := a.server.Load().(string)
-	return server
-}
-
 // run asks for a grant, sends the request and reads the answer. It gives the
 // grant back whatever happens.
 func (a *attempt) run() {
@@ -85,9 +80,9 @@
 		return
 	}
 	a.grant = grant
-	a.server.Store(grant.Server)
 	a.started = a.stream.relay.Clock.Now()
 	a.firstToken = -1
+	a.tell(note{kind: noteGranted})
 	last := a.exchange()
 	a.giveBack(last)
 	a.fail(last)
@@ -102,7 +97,8 @@
 func (a *attempt) tell(n note) bool {
 	n.attempt = a.number
 	n.server = a.grant.Server
-	n.sent = a.sent
+	n.sentAs = a.sent
+	n.sent = a.sent != "" && a.sent != wire.SentNothing
 	select {
 	case a.stream.notes <- n:
 		return true
@@ -139,7 +135,7 @@
 		Body:             job.Body,
 		FirstByteTimeout: a.stream.relay.FirstTimeout,
 	})
-	a.sent = sent != wire.SentNothing
+	a.sent = sent
 	if err != nil {
 		return note{kind: noteFailed, cause: causeOf(err, sent)}
 	}
@@ -241,6 +237,7 @@
 	first := a.firstToken < 0
 	if first {
 		a.firstToken = now - a.started
+		a.stream.relay.FirstToken(a.stream.job.Request, a.firstToken)
 		a.lastReport = now
 		a.reported = a.tokens
 	}
@@ -252,9 +249,10 @@
 	}
 }
 
-// progress gives the mean time between tokens since the last report.
+// progress counts the answer's tokens from its beginning, also on a resumed
+// attempt, and gives the mean time between tokens since the last report.
 func (a *attempt) progress() sched.Progress {
-	p := sched.Progress{ID: a.grant.ID, Tokens: a.tokens, FirstToken: a.firstToken}
+	p := sched.Progress{ID: a.grant.ID, Tokens: a.offset + a.tokens, FirstToken: a.firstToken}
 	if since := a.tokens - a.reported; since > 0 {
 		p.BetweenTokens = float64(a.lastToken-a.lastReport) / float64(since)
 	}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -80,8 +80,12 @@
 	Attempt int
 	// Delivered is how many tokens the caller has.
 	Delivered int
-	// Deadline is when the caller gives up waiting for the first token.
-	Deadline clock.Millis
+	// GiveUp is when the caller gives up waiting for the first token.
+	GiveUp clock.Millis
+	// Sent is how much of the attempt's request the server may have seen.
+	Sent wire.Sent
+	// Repeatable tells that the request may run more than once.
+	Repeatable bool
 }
 
 // Relay makes streams. Set the fields before the first Start.
@@ -95,13 +99,16 @@
 	Send func(ctx context.Context, r wire.Request) (wire.Answer, wire.Sent, error)
 	// MayRetry decides on one more attempt after a failure.
 	MayRetry func(f Failure) bool
-	// HedgeAfter is how long to wait for the first token before a second
-	// attempt is made beside the first, 0 for never.
+	// HedgeAfter is how long a granted attempt may go without a first token
+	// before a second one is made beside it, in milliseconds, 0 for never.
 	HedgeAfter func(r sched.Request) clock.Millis
-	// MayHedge takes one hedge from the budget.
-	MayHedge func(class string) bool
-	// Finished is told of each completion's length, for prediction.
-	Finished func(r sched.Request, tokens int)
+	// MayHedge takes one hedge from the budget for an attempt that was
+	// granted at a time.
+	MayHedge func(r sched.Request, granted clock.Millis) bool
+	// FirstToken is told of each attempt's time to its first token.
+	FirstToken func(r sched.Request, took clock.Millis)
+	// Finished is told of each complete answer.
+	Finished func(r sched.Request)
 
 	// FirstTimeout is the longest wait for a backend server's first byte.
 	FirstTimeout clock.Millis
@@ -146,7 +153,9 @@
 	sent      bool
 	avoid     []string
 	hedge     <-chan struct{}
-	over      bool
+	// granted is when the first attempt got its grant.
+	granted clock.Millis
+	over    bool
 }
 
 // Start begins the first attempt.
@@ -162,9 +171,6 @@
 		winner: -1,
 	}
 	s.launch()
-	if after := r.HedgeAfter(j.Request); after > 0 {
-		s.hedge = r.Clock.After(after)
-	}
 	return s
 }
 
@@ -225,17 +231,11 @@
 
 // tryHedge starts a second attempt where the first has brought nothing yet.
 func (s *Stream) tryHedge() {
-	if s.winner >= 0 || len(s.live) != 1 || !s.relay.MayHedge(s.job.Request.Class) {
+	if s.winner >= 0 || len(s.live) != 1 || !s.relay.MayHedge(s.job.Request, s.granted) {
 		return
 	}
-	for _, a := range s.live {
-		if server := a.granted(); server != "" {
-			s.avoid = append(s.avoid, server)
-			s.count("siskinsaddle_hedges_total", "Sent")
-			s.launch()
-			return
-		}
-	}
+	s.count("siskinsaddle_hedges_total", "Sent")
+	s.launch()
 }
 
 func (s *Stream) count(name, reason string) {
@@ -255,6 +255,7 @@
 }
 
 var noteHandlers = map[noteKind]func(*Stream, note) (Step, bool){
+	noteGranted: (*Stream).takeGranted,
 	noteEvent:   (*Stream).takeEvent,
 	noteEnd:     (*Stream).takeEnd,
 	noteFinal:   (*Stream).takeFinal,
@@ -262,6 +263,20 @@
 	noteFailed:  (*Stream).takeFailed,
 }
 
+// takeGranted starts the wait for a hedge with the first grant. The server is
+// avoided by every later attempt.
+func (s *Stream) takeGranted(n note) (Step, bool) {
+	s.avoid = append(s.avoid, n.server)
+	if n.attempt > 0 {
+		return Step{}, false
+	}
+	s.granted = s.relay.Clock.Now()
+	if after := s.relay.HedgeAfter(s.job.Request); after > 0 {
+		s.hedge = s.relay.Clock.After(after)
+	}
+	return Step{}, false
+}
+
 func (s *Stream) takeEvent(n note) (Step, bool) {
 	if s.winner != n.attempt {
 		s.win(n.attempt)
@@ -288,7 +303,7 @@
 	if s.winner != n.attempt {
 		s.win(n.attempt)
 	}
-	s.relay.Finished(s.job.Request, s.delivered)
+	s.relay.Finished(s.job.Request)
 	return s.finish(Step{End: true}), true
 }
 
@@ -316,16 +331,15 @@
 	if len(s.live) > 0 {
 		return Step{}, false
 	}
-	if n.server != "" {
-		s.avoid = append(s.avoid, n.server)
-	}
 	failure := Failure{
-		Cause:     n.cause,
-		Class:     s.job.Request.Class,
-		Server:    n.server,
-		Attempt:   s.made,
-		Delivered: s.delivered,
-		Deadline:  s.job.Request.GiveUp,
+		Cause:      n.cause,
+		Class:      s.job.Request.Class,
+		Server:     n.server,
+		Attempt:    s.made,
+		Delivered:  s.delivered,
+		GiveUp:     s.job.Request.GiveUp,
+		Sent:       n.sentAs,
+		Repeatable: true,
 	}
 	if s.relay.MayRetry(failure) {
 		s.count(retryCounter(s.delivered), string(n.cause))
