Speed: first tokens are judged by what the server reads before; lengths learnt while they grow

Cause: in a trial of the crest, a server whose slots came free was filled at once, was slow to its next first tokens for that, lost weight, emptied, and was filled again. Conclusion: time between tokens is the steady signal, the first token only beyond twice the expected time.

--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -38,6 +38,9 @@
 	// lengthQuantile is the share of answers that are no longer than what is
 	// predicted.
 	lengthQuantile = 0.7
+	// marginQuantile is the share of first tokens that come within the time
+	// that a request is started before its deadline.
+	marginQuantile = 0.9
 	// reportLag is how late in milliseconds a host's report may be.
 	reportLag = 250 * clock.Millis(1)
 )
@@ -49,6 +52,7 @@
 	tracker *speed.Tracker
 	chooser *pick.Chooser
 	lengths *learn.Lengths
+	margin  *learn.Lengths
 	servers []string
 	// waiting and running are the requests by id.
 	waiting map[string]sched.Request
@@ -60,6 +64,8 @@
 	request sched.Request
 	server  string
 	started bool
+	// counted is the length that was learnt of the unfinished answer.
+	counted int
 }
 
 // New returns a Decider without servers. The settings' Choose and FirstToken
@@ -68,6 +74,7 @@
 	d := &Decider{
 		tracker: speed.New(),
 		lengths: learn.New(lengthKeys),
+		margin:  learn.New(1),
 		waiting: map[string]sched.Request{},
 		running: map[string]*running{},
 	}
@@ -82,11 +89,20 @@
 		s.Choose = d.chooser.Choose
 	}
 	if s.FirstToken == nil {
-		s.FirstToken = func(r sched.Request) clock.Millis { return d.tracker.ExpectedFirst(r.PromptTokens) }
+		s.FirstToken = d.firstToken
 	}
 	return s
 }
 
+// firstToken is the time in milliseconds within which nearly all first tokens
+// come for such a prompt. A request that is started later than that before its
+// deadline would most likely miss it.
+func (d *Decider) firstToken(r sched.Request) clock.Millis {
+	expected := d.tracker.ExpectedFirst(r.PromptTokens)
+	percent := max(100, d.margin.Quantile(learn.Key{}, marginQuantile))
+	return expected * clock.Millis(percent) / 100
+}
+
 // SetSettings replaces the settings; what was learnt stays.
 func (d *Decider) SetSettings(now clock.Millis, s sched.Settings) {
 	d.group.SetSettings(now, d.complete(s))
@@ -113,19 +129,23 @@
 
 // Offer adds a waiting request.
 func (d *Decider) Offer(now clock.Millis, r sched.Request) {
-	r = d.predict(r)
+	r = d.Predict(r)
 	d.waiting[r.ID] = r
 	d.group.Offer(now, r)
 }
 
-func (d *Decider) predict(r sched.Request) sched.Request {
+// Predict fills in the learnt length where the request has none.
+func (d *Decider) Predict(r sched.Request) sched.Request {
 	if r.PredictedTokens == 0 {
-		key := learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model}
-		r.PredictedTokens = d.lengths.Quantile(key, lengthQuantile)
+		r.PredictedTokens = d.lengths.Quantile(lengthKey(r), lengthQuantile)
 	}
 	return r
 }
 
+func lengthKey(r sched.Request) learn.Key {
+	return learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model, Prompt: learn.PromptSize(r.PromptTokens)}
+}
+
 // Cancel withdraws a waiting request or frees the slot of a granted one.
 func (d *Decider) Cancel(now clock.Millis, id string) {
 	delete(d.waiting, id)
@@ -150,7 +170,7 @@
 
 // Adopt enters a request that runs already.
 func (d *Decider) Adopt(now clock.Millis, r sched.Request, server string) {
-	r = d.predict(r)
+	r = d.Predict(r)
 	delete(d.waiting, r.ID)
 	d.running[r.ID] = &running{request: r, server: server, started: true}
 	d.group.Adopt(now, r, server)
@@ -166,8 +186,7 @@
 func (d *Decider) Release(now clock.Millis, done sched.Done) {
 	d.observe(now, done.Progress)
 	if v := d.running[done.ID]; v != nil && done.Outcome == sched.OutcomeDone {
-		r := v.request
-		d.lengths.Observe(learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model}, done.Tokens)
+		d.lengths.Grown(lengthKey(v.request), v.counted, done.Tokens)
 	}
 	d.forget(now, done.ID)
 	d.group.Release(now, done)
@@ -180,12 +199,22 @@
 	}
 	if !v.started && p.FirstToken >= 0 && p.Tokens > 0 {
 		v.started = true
-		d.tracker.Ended(now, v.server, p.ID)
-		d.tracker.ObserveFirst(now, v.server, v.request.PromptTokens, p.FirstToken)
+		d.observeFirst(now, v, p)
+	}
+	if p.Tokens > v.request.PredictedTokens && p.Tokens >= 2*v.counted {
+		d.lengths.Grown(lengthKey(v.request), v.counted, p.Tokens)
+		v.counted = p.Tokens
 	}
 	d.tracker.Between(now, v.server, d.group.Running(v.server), p.BetweenTokens)
 }
 
+func (d *Decider) observeFirst(now clock.Millis, v *running, p sched.Progress) {
+	if expected := d.tracker.ExpectedFirst(v.request.PromptTokens); expected > 0 {
+		d.margin.Observe(learn.Key{}, int(100*p.FirstToken/expected))
+	}
+	d.tracker.FirstToken(now, v.server, p.ID, p.FirstToken)
+}
+
 func (d *Decider) forget(now clock.Millis, id string) {
 	if v := d.running[id]; v != nil {
 		d.tracker.Ended(now, v.server, id)
--- a/internal/policy/learn/histogram.go
+++ b/internal/policy/learn/histogram.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// take removes an answer of this length, as far as it has not faded.
+func (h *histogram) take(tokens int) {
+	count := &h.counts[bucketOf(tokens)]
+	taken := min(1, *count)
+	*count -= taken
+	h.total -= taken
+}
+
 func (h *histogram) quantile(q float64) int {
 	if h.total == 0 {
 		return 0
--- a/internal/policy/learn/learn.go
+++ b/internal/policy/learn/learn.go
@@ -1,16 +1,19 @@
 // Package learn predicts how many tokens a request's answer will have, from
-// the answers that its workspace, class and model have had before.
+// the answers that its workspace, class, model and size of prompt have had
+// before.
 //
 // Each key keeps a small histogram of lengths whose buckets grow by a quarter,
 // and whose older answers fade. A key with too few answers borrows from
-// broader ones: class and model over all workspaces, then model alone. The
+// broader ones: prompt size, class and model over all workspaces, then without
+// the prompt size, then the model alone. The
 // number of keys is bounded; the one unused for the longest time is forgotten
 // first.
 //
 // # Usage
 //
 //	l := learn.New(20_000)
-//	l.Observe(learn.Key{Workspace: "fountains", Class: "chat", Model: "m1"}, 180)
+//	key := learn.Key{Workspace: "fountains", Class: "chat", Model: "m1", Prompt: learn.PromptSize(900)}
+//	l.Observe(key, 180)
 //	tokens := l.Quantile(key, 0.5) // 0 while nothing is known
 package learn
 
@@ -21,6 +24,37 @@
 	Workspace string
 	Class     string
 	Model     string
+	// Prompt is the prompt's length as PromptSize gives it.
+	Prompt Size
+}
+
+// Size is a rough length of a prompt. Questions and whole histories of the same
+// workspace are told apart by it.
+type Size string
+
+// The sizes of a prompt.
+const (
+	SizeAny    Size = ""
+	SizeSmall  Size = "Small"
+	SizeMedium Size = "Medium"
+	SizeLarge  Size = "Large"
+)
+
+// The lengths in tokens from which a prompt is medium and large.
+const (
+	mediumPrompt = 512
+	largePrompt  = 2_048
+)
+
+// PromptSize returns the size of a prompt of this many tokens.
+func PromptSize(tokens int) Size {
+	switch {
+	case tokens >= largePrompt:
+		return SizeLarge
+	case tokens >= mediumPrompt:
+		return SizeMedium
+	}
+	return SizeSmall
 }
 
 // enoughAnswers is how many answers a key needs before it is believed alone.
@@ -50,6 +84,19 @@
 	}
 }
 
+// Grown takes the length so far of an answer that has not ended, so that long
+// work is known before it is over. before is the length of the last call for
+// the same answer, 0 at the first.
+func (l *Lengths) Grown(k Key, before, tokens int) {
+	for _, b := range broader(k) {
+		h := l.at(b)
+		if before > 0 {
+			h.take(before)
+		}
+		h.add(tokens)
+	}
+}
+
 // Quantile returns the length in tokens that the share q of answers does not
 // exceed, 0 while nothing is known of the key nor of broader ones.
 func (l *Lengths) Quantile(k Key, q float64) int {
@@ -87,8 +134,8 @@
 func (l *Lengths) Len() int { return l.order.Len() }
 
 // broader lists the key and those it falls back to.
-func broader(k Key) [3]Key {
-	return [3]Key{k, {Class: k.Class, Model: k.Model}, {Model: k.Model}}
+func broader(k Key) [4]Key {
+	return [4]Key{k, {Class: k.Class, Model: k.Model, Prompt: k.Prompt}, {Class: k.Class, Model: k.Model}, {Model: k.Model}}
 }
 
 func (l *Lengths) at(k Key) *histogram {
--- a/internal/policy/learn/learn_test.go
+++ b/internal/policy/learn/learn_test.go
@@ -32,6 +32,13 @@
 	share, known := l.Over(fresh, 1_000)
 	c.Check(known, quicktest.IsTrue)
 	c.Check(share > 0.2 && share < 0.5, quicktest.IsTrue)
+	// Answers that are still growing count before they end.
+	growing := learn.Key{Workspace: "grow", Class: "other", Model: "g", Prompt: learn.PromptSize(5_000)}
+	for range 20 {
+		l.Grown(growing, 0, 300)
+		l.Grown(growing, 300, 600)
+	}
+	within(l.Quantile(growing, 0.1), 600, 750)
 	// A change of habit shows after some hundred answers.
 	for range 400 {
 		l.Observe(short, 900)
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -1,10 +1,10 @@
 // Package pick chooses the backend server for a request that has been given a
 // slot.
 //
-// For each candidate it works out when the answer would be complete there:
-// the prompt's share that is not in the server's prefix cache, the predicted
-// output at the time between tokens for the load, both multiplied by how slow
-// the server is now. Prefix affinity is a hint: it counts only while the
+// For each candidate it works out when the answer would be complete there: the
+// prompts that the server has to read before, the prompt's share that is not in
+// the server's prefix cache, and the predicted output at the time between
+// tokens for the load, multiplied by how slow the server is now. Prefix affinity is a hint: it counts only while the
 // server runs no more than a quarter and one request above the candidates'
 // mean, and rests on which prompts were sent there, not on the engine's cache
 // events.
@@ -126,5 +126,5 @@
 	if tokens <= 0 {
 		tokens = unknownPredicted
 	}
-	return (first + float64(tokens)*between) * c.tracker.Slowness(now, k.Server)
+	return c.tracker.Reading(now, k.Server) + (first+float64(tokens)*between)*c.tracker.Slowness(now, k.Server)
 }
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -21,7 +21,8 @@
 //
 // A slot is of no use to a request whose model the server has not loaded, to
 // long work on a server whose slots for long work are taken, and to tiers
-// below Headroom.Tier on a server that has only its headroom left.
+// below Headroom.Tier on a server that has only its headroom left. A floor may
+// use the headroom, and one slot for long work above the cap.
 //
 // # Shedding
 //
--- a/internal/policy/sched/server.go
+++ b/internal/policy/sched/server.go
@@ -46,10 +46,17 @@
 	tier  int
 	long  bool
 	avoid []string
-	// floor lifts the headroom rule.
+	// floor lifts the headroom rule, and the cap on long work by one slot.
 	floor bool
 }
 
+func (n need) extraLong() int {
+	if n.floor {
+		return 1
+	}
+	return 0
+}
+
 // fits tells whether the server has a slot that the request may use.
 func (g *Group) fits(s *server, n need) bool {
 	free := s.free()
@@ -60,7 +67,7 @@
 	if !n.floor && n.tier > h.Tier && free <= h.Slots {
 		return false
 	}
-	if n.long && s.long >= longCap(s.slots.limit(), g.settings.LongShare) {
+	if n.long && s.long >= longCap(s.slots.limit(), g.settings.LongShare)+n.extraLong() {
 		return false
 	}
 	return !slices.Contains(n.avoid, s.Name)
--- a/internal/policy/speed/speed.go
+++ b/internal/policy/speed/speed.go
@@ -1,16 +1,18 @@
 // Package speed judges backend servers by the entry hosts' own timings, since
 // the servers' load reports come late.
 //
-// Two figures are watched: the time to the first token, by prompt length, and
-// the time between tokens, by how many requests the server runs. Both are
-// compared with what is expected for that prompt or that load. The expectation
-// is a straight line fitted to the timings of all servers that are not slow,
-// so that a slow one does not shift it. The ratios of observed to expected
-// time are smoothed over a quarter of a second, and compared with the median
-// of the siblings: what slows all servers alike makes none of them slow.
+// Two figures are watched: the time to the first token, by the prompts that the
+// server has to read until then, and the time between tokens, by how many
+// requests it runs. Both are compared with what is expected for that prompt or
+// that load. The expectation is a straight line fitted to the timings of all
+// servers that are not slow, so that a slow one does not shift it. The ratios
+// of observed to expected time are smoothed over a quarter of a second, and
+// compared with the median of the siblings: what slows all servers alike makes
+// none of them slow.
 //
-// A request that has waited for its first token for longer than the line
-// expects counts as a timing before the token comes, so that a server that has
+// First tokens vary with what else the server reads, so that they count only
+// beyond twice the expected time. A request that has waited for its first token
+// for longer than that counts before the token comes, so that a server that has
 // stopped answering is noticed too.
 //
 // A slow server loses weight in proportion. One that gets no work gives no
@@ -21,7 +23,7 @@
 //
 //	t := speed.New()
 //	t.Started(now, "llm-1", "r1", 300)             // granted, prompt of 300 tokens
-//	t.FirstToken(now, "llm-1", "r1")               // first token seen
+//	t.FirstToken(now, "llm-1", "r1", 45)           // first token after 45 ms
 //	t.Between(now, "llm-1", 6, 21.5)               // 21.5 ms between tokens, 6 running
 //	t.Ended(now, "llm-1", "r1")
 //	w := t.Weight(now, "llm-1")                    // 0.05 to 1
@@ -40,7 +42,7 @@
 	smoothing = 250.0
 	// tolerated is the ratio to the siblings' median up to which a server is
 	// not slow.
-	tolerated = 1.3
+	tolerated = 1.5
 	// lowestWeight is what a slow server keeps at the least.
 	lowestWeight = 0.05
 	// probeEvery is the time between two probes of a slow server.
@@ -66,12 +68,16 @@
 	between ratio
 	open    map[string]opened
 	probed  clock.Millis
+	// readUntil is when the prompts sent so far are expected to be read.
+	readUntil float64
 }
 
 // opened is a request without its first token.
 type opened struct {
 	at     clock.Millis
 	prompt int
+	// ahead is how long in milliseconds the server reads other prompts first.
+	ahead float64
 }
 
 // New returns an empty Tracker.
@@ -96,30 +102,39 @@
 
 // Started notes that a request was sent to the server.
 func (t *Tracker) Started(now clock.Millis, name, id string, promptTokens int) {
-	t.at(name).open[id] = opened{at: now, prompt: promptTokens}
+	s := t.at(name)
+	s.open[id] = opened{at: now, prompt: promptTokens, ahead: t.Reading(now, name)}
+	reading := t.first.perUnit * float64(promptTokens) * t.Slowness(now, name)
+	s.readUntil = max(s.readUntil, float64(now)) + reading
+}
+
+// Reading is how long in milliseconds the server is expected to read prompts
+// that were sent to it before. A prompt that is sent now waits for these.
+func (t *Tracker) Reading(now clock.Millis, name string) float64 {
+	s := t.servers[name]
+	if s == nil {
+		return 0
+	}
+	return max(0, s.readUntil-float64(now))
 }
 
-// FirstToken notes that a request's first token came.
-func (t *Tracker) FirstToken(now clock.Millis, name, id string) {
+// FirstToken notes that a started request's first token came after this many
+// milliseconds.
+func (t *Tracker) FirstToken(now clock.Millis, name, id string, took clock.Millis) {
 	s := t.at(name)
 	o, ok := s.open[id]
 	if !ok {
 		return
 	}
 	delete(s.open, id)
-	t.ObserveFirst(now, name, o.prompt, now-o.at)
-}
-
-// ObserveFirst takes a time to the first token in milliseconds.
-func (t *Tracker) ObserveFirst(now clock.Millis, name string, promptTokens int, took clock.Millis) {
-	t.observe(now, &t.first, &t.at(name).first, name, float64(promptTokens), float64(max(1, took)))
+	t.observe(now, &t.first, &s.first, name, timing{x: float64(o.prompt), ahead: o.ahead, took: float64(took)})
 }
 
 // Between takes a mean time between tokens in milliseconds, seen while the
 // server ran this many requests.
 func (t *Tracker) Between(now clock.Millis, name string, running int, took float64) {
 	if took > 0 {
-		t.observe(now, &t.between, &t.at(name).between, name, float64(running), took)
+		t.observe(now, &t.between, &t.at(name).between, name, timing{x: float64(running), took: took})
 	}
 }
 
@@ -128,12 +143,20 @@
 	delete(t.at(name).open, id)
 }
 
-func (t *Tracker) observe(now clock.Millis, l *line, r *ratio, name string, x, took float64) {
+// timing is an observed time in milliseconds, for a length of prompt or a number
+// of running requests.
+type timing struct {
+	x     float64
+	ahead float64
+	took  float64
+}
+
+func (t *Tracker) observe(now clock.Millis, l *line, r *ratio, name string, v timing) {
 	if l.count >= leastTimings {
-		r.add(now, took/max(1, l.at(x)))
+		r.add(now, v.took/max(1, l.at(v.x)+v.ahead))
 	}
-	if t.Slowness(now, name) <= tolerated {
-		l.add(x, took)
+	if v.ahead == 0 && t.Slowness(now, name) <= tolerated {
+		l.add(v.x, v.took)
 	}
 }
 
@@ -170,6 +193,10 @@
 	return max(1, own/max(1, all[(len(all)-1)/2]))
 }
 
+// firstTolerated is how many times the expected time a first token may take
+// before it counts as slowness.
+const firstTolerated = 2.0
+
 // own is the larger of a server's two ratios, counting requests whose first
 // token is overdue.
 func (t *Tracker) own(now clock.Millis, name string) float64 {
@@ -177,21 +204,17 @@
 	if s == nil {
 		return 1
 	}
-	worst := max(1, s.first.value, s.between.value)
+	worst := max(1, s.first.value/firstTolerated, s.between.value)
 	if t.first.count < leastTimings {
 		return worst
 	}
 	for _, o := range s.open {
-		expected := max(1, t.first.at(float64(o.prompt)))
-		worst = max(worst, float64(now-o.at-t.ReportLag)/expected/overdue)
+		expected := max(1, t.first.at(float64(o.prompt))+o.ahead)
+		worst = max(worst, float64(now-o.at-t.ReportLag)/expected/firstTolerated)
 	}
 	return worst
 }
 
-// overdue is how many times the expected time a first token may take before
-// its absence counts as slowness.
-const overdue = 2.0
-
 // Weight is the share of its usual work that the server should get, from 0.05
 // to 1.
 func (t *Tracker) Weight(now clock.Millis, name string) float64 {
