--- a/internal/tools/bench/keeper.go
+++ b/internal/tools/bench/keeper.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/decide"
 	"siskinsaddle/internal/policy/sched"
 )
 
@@ -25,7 +26,7 @@
 	place   hostPlace
 	slots   int
 	servers []*server
-	group   *sched.Group
+	decider *decide.Decider
 	health  *health
 	// digest is what hosts have last heard.
 	digest sched.Digest
@@ -34,7 +35,7 @@
 func newKeeper(w *world, place hostPlace, servers []*server, slots int) *keeper {
 	k := &keeper{world: w, place: place, slots: slots, servers: servers}
 	k.health = newHealth(servers)
-	k.group = sched.New(schedSettings(w.deployment))
+	k.decider = decide.New(schedSettings(w.deployment))
 	k.setServers()
 	return k
 }
@@ -67,7 +68,7 @@
 	for _, s := range k.servers {
 		list = append(list, sched.Server{Name: s.name, State: k.health.state(s.name), Slots: k.slots})
 	}
-	k.group.SetServers(k.world.now, list)
+	k.decider.SetServers(k.world.now, list)
 }
 
 // tick lets time pass.
@@ -75,24 +76,24 @@
 	if k.health.recover(k.world.now) {
 		k.setServers()
 	}
-	k.group.Tick(k.world.now)
+	k.decider.Tick(k.world.now)
 	k.flush()
 }
 
 func (k *keeper) offer(ask sched.Request) {
-	k.group.Offer(k.world.now, ask)
+	k.decider.Offer(k.world.now, ask)
 	k.flush()
 }
 
 func (k *keeper) report(list []sched.Progress) {
 	for _, p := range list {
-		k.group.Progress(k.world.now, p)
+		k.decider.Progress(k.world.now, p)
 	}
 	k.flush()
 }
 
 func (k *keeper) release(d sched.Done, server string) {
-	k.group.Release(k.world.now, d)
+	k.decider.Release(k.world.now, d)
 	if d.Outcome == sched.OutcomeFailed {
 		k.health.fail(k.world.now, server)
 		k.setServers()
@@ -102,7 +103,7 @@
 
 // flush sends the decisions to the hosts that wait for them.
 func (k *keeper) flush() {
-	for _, d := range k.group.Take() {
+	for _, d := range k.decider.Take(k.world.now) {
 		r := k.world.byID[d.ID]
 		k.world.send(k.place, r.hostPlace(), d, func() { k.decided(r, d) })
 	}
@@ -155,18 +156,17 @@
 func (k *kept) ask(r *request, avoid []string) {
 	to := k.choose(r)
 	ask := sched.Request{
-		ID:              r.id,
-		Host:            k.world.hostName(r.hostPlace()),
-		Service:         "llm",
-		Class:           r.class.Name,
-		Workspace:       r.workspace,
-		Arrived:         r.at,
-		Deadline:        r.at + r.class.FirstTokenMilliseconds,
-		GiveUp:          r.giveUp(),
-		PromptTokens:    r.prompt,
-		PredictedTokens: k.world.lengths.predict(r),
-		Prefix:          r.prefix,
-		Avoid:           avoid,
+		ID:           r.id,
+		Host:         k.world.hostName(r.hostPlace()),
+		Service:      "llm",
+		Class:        r.class.Name,
+		Workspace:    r.workspace,
+		Arrived:      r.at,
+		Deadline:     r.at + r.class.FirstTokenMilliseconds,
+		GiveUp:       r.giveUp(),
+		PromptTokens: r.prompt,
+		Prefix:       r.prefix,
+		Avoid:        avoid,
 	}
 	if r.got > 0 {
 		ask.GiveUp = max(ask.GiveUp, k.world.now+r.class.MaxWaitMilliseconds)
@@ -192,9 +192,6 @@
 
 func (k *kept) release(a *attempt, how sched.Outcome) {
 	r := a.request
-	if how == sched.OutcomeDone {
-		k.world.lengths.learn(r)
-	}
 	d := sched.Done{Progress: a.progress(), Outcome: how}
 	to := r.keeper
 	k.world.send(r.hostPlace(), to.place, d, func() { to.release(d, a.server.name) })
@@ -227,7 +224,7 @@
 }
 
 func (k *kept) digestFrom(from *keeper) {
-	d := from.group.Digest(k.world.now)
+	d := from.decider.Digest(k.world.now)
 	for place, among := range k.choices {
 		if len(among) > 1 && slices.Contains(among, from) {
 			k.world.count(from.place, place, d)
--- a/internal/tools/bench/world.go
+++ b/internal/tools/bench/world.go
@@ -17,7 +17,6 @@
 	cutOff     []bool
 	requests   []*request
 	byID       map[string]*request
-	lengths    *lengths
 	open       int
 	gaps       *gaps
 	traffic    Traffic
@@ -49,7 +48,6 @@
 		cutOff:     make([]bool, len(d.Domains)),
 		gaps:       newGaps(),
 		byID:       make(map[string]*request, len(jobs)),
-		lengths:    &lengths{known: map[string]float64{}},
 	}
 	for _, p := range d.serverPlaces() {
 		w.servers = append(w.servers, newServer(w, p))
