Load test on real sockets, with run counts of bookings

Cause: what callers see over real sockets, the router's own latency and processor time, and whether a booking ran twice were not measured.

--- a/internal/serve/entry/routes.go
+++ b/internal/serve/entry/routes.go
@@ -56,6 +56,7 @@
 
 // metrics writes the counters and gauges.
 func (e *Entry) metrics(c *fasthttp.RequestCtx) *refuse.Refusal {
+	countUsage(e.Count)
 	e.Count.Set("siskinsaddle_open_requests", int64(e.opens.open()))
 	e.Count.Set("siskinsaddle_manifest_generation", e.View().Generation)
 	c.SetContentType("text/plain; version=0.0.4; charset=utf-8")
--- a/internal/tools/verbs/serve.go
+++ b/internal/tools/verbs/serve.go
@@ -51,7 +51,7 @@
 	defer stop()
 	l := logs.New(c.ErrOrStderr(), s.LogLevel)
 	if embedded {
-		st := &stand.Stand{Settings: stand.Embedded()}
+		st := &stand.Stand{Settings: stand.Embedded().WithPorts(firstStandInPort)}
 		if err := st.Start(); err != nil {
 			return err
 		}
