--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -270,7 +270,7 @@
 	for low := n.lowest(); low != ""; low = n.lowest() {
 		at := n.victim(now, low)
 		e := n.waiting[at]
-		if e.Deadline >= now || now+n.estimate(n.class(low).Tier) <= e.GiveUp {
+		if now+n.estimate(n.class(low).Tier) <= min(e.GiveUp, 2*e.Deadline-e.Arrived) {
 			return
 		}
 		n.refuse(at, sched.ReasonShed)
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// shedHopeless sheds requests of the lowest tier that cannot be reached before
-// their callers give up, even if no further request arrives.
+// shedHopeless sheds requests of the lowest tier that cannot be reached while
+// they are of use, even if no further request arrives.
 func (g *Group) shedHopeless(now clock.Millis) {
 	for {
 		c := g.lowest()
@@ -58,13 +58,20 @@
 			return
 		}
 		e := c.victim()
-		if e.startBy >= now || now+g.waitEstimate(c.tier) <= e.GiveUp {
+		if now+g.waitEstimate(c.tier) <= e.usefulUntil() {
 			return
 		}
 		g.shed(e)
 	}
 }
 
+// usefulUntil is the time until which a request is kept waiting while there is
+// more work than slots: twice its target. An answer that begins later is late
+// for its caller, and makes others late.
+func (e *entry) usefulUntil() clock.Millis {
+	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived))
+}
+
 func (g *Group) shed(e *entry) {
 	g.remove(e)
 	g.refuse(e.Request, ReasonShed)
