--- a/internal/policy/sched/class.go
+++ b/internal/policy/sched/class.go
@@ -85,6 +85,18 @@
 	return newest
 }
 
+// oldest is the entry of the workspace with the most waiting requests for its
+// weight that has to start first.
+func (c *class) oldest() *entry {
+	var oldest *entry
+	for _, q := range c.heaviest.top().queues {
+		if first := q.entries[0]; oldest == nil || first.before(oldest) {
+			oldest = first
+		}
+	}
+	return oldest
+}
+
 // buildTiers returns the classes by name and the tiers, the most urgent first.
 func buildTiers(classes []Class) (map[string]*class, []*tier) {
 	byNumber := map[int]*tier{}
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -57,7 +57,7 @@
 		if c == nil {
 			return
 		}
-		e := c.victim()
+		e := c.oldest()
 		if now+g.waitEstimate(c.tier) <= e.usefulUntil() {
 			return
 		}
