--- a/internal/share/accept/accept_test.go
+++ b/internal/share/accept/accept_test.go
@@ -218,6 +218,7 @@
 		u := w.push(manifest(1, 2), always)
 		w.run(12 * clock.Second)
 		c.Assert(u.answer.Outcome, qt.Equals, Accepted, qt.Commentf("lateness %d: %v", lateness, u.answer))
+		c.Assert(u.answer.Repeat, qt.IsFalse)
 		w.expect(c, ModeReady, u.answer.Generation)
 		w.checkPushes()
 		c.Assert(w.faults, qt.HasLen, 0)
--- /dev/null
+++ b/internal/share/accept/rules_test.go
@@ -0,0 +1,128 @@
+package accept
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+)
+
+func rosterOf(names ...string) *roster {
+	r := newRoster()
+	r.list(names, "self", 0)
+	return r
+}
+
+func TestRosterVerifiesByAnswers(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(newRoster().verifiedAt(900), qt.Equals, never) // the peers are not known
+	c.Assert(rosterOf("self").verifiedAt(900), qt.Equals, clock.Millis(900))
+
+	r := rosterOf("self", "x", "y", "z")
+	c.Assert(r.verifiedAt(2_000), qt.Equals, never)
+	r.answered("x", 900)
+	c.Assert(r.verifiedAt(2_000), qt.Equals, never) // two of four are no majority
+	r.answered("y", 700)
+	c.Assert(r.verifiedAt(2_000), qt.Equals, clock.Millis(700))
+
+	// A path that works prolongs an answer, but only without a gap.
+	r = rosterOf("self", "x")
+	r.answered("x", 1_000)
+	r.pathSeen("x", 1_000+CurrencyWindow)
+	c.Assert(r.verifiedAt(9_000), qt.Equals, 1_000+CurrencyWindow)
+	r.pathSeen("x", 1_001+3*CurrencyWindow)
+	c.Assert(r.verifiedAt(9_000), qt.Equals, 1_000+CurrencyWindow)
+
+	// A hello that came after the reading of the registrations stays.
+	r.hello("y", 5_000)
+	r.list([]string{"self"}, "self", 4_000)
+	c.Assert(r.names(), qt.DeepEquals, []string{"y"})
+	c.Assert(r.metOf([]string{"x", "y"}), qt.DeepEquals, []string{"y"})
+}
+
+func TestCollectionVerdicts(t *testing.T) {
+	const late = ExclusionWait + 1
+	ok := TellReply{Acked: 7, Met: []string{"x", "y"}}
+	stranger := TellReply{Acked: 7}
+	for name, v := range map[string]struct {
+		replies map[string]TellReply
+		awake   clock.Millis
+		now     clock.Millis
+		want    verdict
+	}{
+		"all acknowledged":          {replies: map[string]TellReply{"self": ok, "x": ok, "y": ok, "z": ok}, want: verdictConfirm},
+		"one fetches":               {replies: map[string]TellReply{"self": ok, "x": {}, "y": ok, "z": ok}, now: late, want: verdictWait},
+		"one refuses":               {replies: map[string]TellReply{"self": ok, "x": {Refusal: "unknown field"}}, want: verdictAbort},
+		"one silent, not for long":  {replies: map[string]TellReply{"self": ok, "y": ok, "z": ok}, now: ExclusionWait, want: verdictWait},
+		"one silent":                {replies: map[string]TellReply{"self": ok, "y": ok, "z": ok}, now: late, want: verdictConfirm},
+		"two of four silent":        {replies: map[string]TellReply{"self": ok, "z": ok}, now: late, want: verdictConfirm},
+		"three of four silent":      {replies: map[string]TellReply{"self": {Acked: 7, Met: []string{"x", "y", "z"}}}, now: late, want: verdictWait},
+		"blocked for long":          {replies: map[string]TellReply{"self": ok}, now: late + BlockedWait, want: verdictAbort},
+		"paused meanwhile":          {replies: map[string]TellReply{"self": ok, "y": ok, "z": ok}, now: late, awake: 100, want: verdictWait},
+		"this host never met it":    {replies: map[string]TellReply{"self": stranger, "y": ok, "z": ok}, now: late, want: verdictWait},
+		"too few of those met them": {replies: map[string]TellReply{"self": ok, "z": stranger}, now: late, want: verdictWait},
+	} {
+		col := newCollection(7, "self", []string{"self", "x", "y", "z"})
+		for _, host := range col.names() {
+			if reply, answers := v.replies[host]; answers {
+				col.answered(host, reply)
+			} else {
+				col.unanswered(host, 0)
+			}
+		}
+		got, _ := col.verdict(v.now, v.awake)
+		qt.Check(t, got, qt.Equals, v.want, qt.Commentf(name))
+	}
+}
+
+func TestWhomToCheck(t *testing.T) {
+	c := qt.New(t)
+	order := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	c.Assert(whomToCheck(0, order, false, false), qt.HasLen, 0)
+	c.Assert(whomToCheck(5, order, false, false), qt.DeepEquals, []string{"b"})
+	c.Assert(whomToCheck(0, order, true, false), qt.DeepEquals, order[1:8])
+	c.Assert(whomToCheck(0, order, true, true), qt.DeepEquals, order[1:])
+	c.Assert(whomToCheck(0, []string{"a"}, true, true), qt.HasLen, 0)
+}
+
+// TestWhatAPeersAnswerIsWorth: an answer counts as of when it was asked for,
+// less its age. Of another failure domain only the platform's part counts, and
+// a peer that started since does not count towards a majority.
+func TestWhatAPeersAnswerIsWorth(t *testing.T) {
+	c := qt.New(t)
+	m := clock.NewManual(10_000)
+	h := NewHolder("self", "a", m.Clock())
+	h.roster = rosterOf("self", "x")
+	reply := CheckReply{Accepted: Generation{Number: 1}, VerifiedAge: 100, PlatformAge: -1, Solid: true}
+	h.Checked("far", 10_000, reply)
+	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, never)
+	h.Checked("x", 10_000, reply)
+	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, clock.Millis(9_900))
+	c.Assert(h.solid(), qt.IsFalse)
+
+	h.Learn(Sighting{VerifiedAt: 10_000, PlatformAt: 10_000})
+	reply.VerifiedAge = -1
+	m.Advance(500)
+	h.Checked("x", 10_500, reply)
+	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, clock.Millis(10_500))
+	reply.Solid = false
+	m.Advance(9_000)
+	h.Checked("x", 19_500, reply)
+	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, clock.Millis(10_500))
+	c.Assert(h.Knowledge().Mode(19_500), qt.Equals, ModeNotCurrent)
+}
+
+func TestStoppedMachineShowsOnTheWallClock(t *testing.T) {
+	c := qt.New(t)
+	m := clock.NewManual(5_000)
+	wall := clock.Millis(0)
+	k := m.Clock()
+	k.Wall = func() clock.Millis { return k.Now() + wall }
+	a := &awake{clock: k}
+	c.Assert(a.now(), qt.Equals, clock.Millis(5_000))
+	wall = 60_000
+	c.Assert(a.now(), qt.Equals, clock.Millis(65_000))
+	m.Advance(10)
+	c.Assert(a.now(), qt.Equals, clock.Millis(65_010))
+}
