Lower tiers are shed for a higher one that is past twice its target

Cause: late answers of the second tier were most of the waste at the crest: they could not be shed while the third tier waited, and held the slots once the crest was over.

--- a/internal/policy/sched/class.go
+++ b/internal/policy/sched/class.go
@@ -66,22 +66,19 @@
 	return a.workspace < b.workspace
 }
 
-// victim is the entry that the class loses first: of the workspace with the
-// most waiting requests for its weight the latest one, or where none is late
-// the one that may start last.
-func (c *class) victim() *entry {
-	var oldest, newest *entry
+// victim is the entry that the class loses to a full queue: of the workspace
+// with the most waiting requests for its weight the latest one, or where none
+// is late the one that may start last.
+func (c *class) victim(now clock.Millis) *entry {
+	if e := c.oldest(); e.startBy < now {
+		return e
+	}
+	var newest *entry
 	for _, q := range c.heaviest.top().queues {
-		if first := q.entries[0]; q.late > 0 && (oldest == nil || first.before(oldest)) {
-			oldest = first
-		}
 		if last := q.entries[len(q.entries)-1]; newest == nil || newest.before(last) {
 			newest = last
 		}
 	}
-	if oldest != nil {
-		return oldest
-	}
 	return newest
 }
 
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -163,7 +163,7 @@
 	g.add(now, e)
 	g.advance(now)
 	g.dispatch(now)
-	g.bound(e)
+	g.bound(now, e)
 	g.shedHopeless(now)
 }
 
--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -218,8 +218,8 @@
 	return best.Name
 }
 
-// victim returns the index of the entry that the class loses.
-func (n *naive) victim(now clock.Millis, class string) int {
+// heaviest returns the workspace with the most waiting for its weight.
+func (n *naive) heaviest(class string) string {
 	heaviest, most := "", -1.0
 	for _, e := range n.waiting {
 		per := float64(count(n.waiting, func(o naiveEntry) bool { return o.Class == class && o.Workspace == e.Workspace })) / float64(n.weight(e.Workspace))
@@ -227,21 +227,31 @@
 			heaviest, most = e.Workspace, per
 		}
 	}
-	oldest, newest := -1, -1
+	return heaviest
+}
+
+// oldest returns the index of the heaviest workspace's entry that is due first.
+func (n *naive) oldest(class string) int {
+	heaviest, oldest := n.heaviest(class), -1
 	for i, e := range n.waiting {
-		if e.Class != class || e.Workspace != heaviest {
-			continue
-		}
-		if e.Deadline < now && (oldest < 0 || e.Deadline < n.waiting[oldest].Deadline) {
+		if e.Class == class && e.Workspace == heaviest && (oldest < 0 || e.Deadline < n.waiting[oldest].Deadline) {
 			oldest = i
 		}
-		if newest < 0 || e.Deadline >= n.waiting[newest].Deadline {
+	}
+	return oldest
+}
+
+// victim returns the index of the entry that the class loses to a full queue.
+func (n *naive) victim(now clock.Millis, class string) int {
+	heaviest, newest := n.heaviest(class), -1
+	if at := n.oldest(class); n.waiting[at].Deadline < now {
+		return at
+	}
+	for i, e := range n.waiting {
+		if e.Class == class && e.Workspace == heaviest && (newest < 0 || e.Deadline >= n.waiting[newest].Deadline) {
 			newest = i
 		}
 	}
-	if oldest >= 0 {
-		return oldest
-	}
 	return newest
 }
 
@@ -268,15 +278,23 @@
 		n.bound(now, n.class(offered))
 	}
 	for low := n.lowest(); low != ""; low = n.lowest() {
-		at := n.victim(now, low)
-		e := n.waiting[at]
-		if now+n.estimate(n.class(low).Tier) <= min(e.GiveUp, 2*e.Deadline-e.Arrived) {
+		at := n.oldest(low)
+		tier := n.class(low).Tier
+		if now+n.estimate(tier) <= useful(n.waiting[at]) && !n.pastUseAbove(now, tier) {
 			return
 		}
 		n.refuse(at, sched.ReasonShed)
 	}
 }
 
+func useful(e naiveEntry) clock.Millis { return min(e.GiveUp, 2*e.Deadline-e.Arrived) }
+
+func (n *naive) pastUseAbove(now clock.Millis, tier int) bool {
+	return slices.ContainsFunc(n.settings.Classes, func(c sched.Class) bool {
+		return c.Tier < tier && n.waitingIn(c.Name) > 1 && useful(n.waiting[n.oldest(c.Name)]) < now
+	})
+}
+
 func (n *naive) bound(now clock.Millis, c sched.Class) {
 	total, low := 0, n.lowest()
 	for _, d := range n.settings.Classes {
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -26,11 +26,16 @@
 //
 // # Shedding
 //
-// A queue that is full, or whose requests cannot be reached before their
-// callers give up, sheds by tier alone: the request comes from the lowest tier
-// that has a class with more than one waiting request. The one request that
-// each class keeps is what its floor is given to. Within a class the workspace
-// with the most waiting requests for its weight loses one.
+// A queue that is full sheds, and so does one whose oldest request could not be
+// given a slot within twice its target even if nothing more arrived. Both shed
+// by tier alone: the request comes from the lowest tier that has a class with
+// more than one waiting request. The one request that each class keeps is what
+// its floor is given to. While a tier has requests that have waited past twice
+// their target, the tiers below it shed until that one may: they would not be
+// reached before it.
+//
+// Within a class the workspace with the most waiting requests for its weight
+// loses one: the oldest, or for a full queue without late requests the newest.
 //
 // # Usage
 //
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -31,7 +31,7 @@
 // bound sheds one request if the offered one made the queues too long. A class
 // may outgrow its own bound while lower tiers wait, since then it may not be
 // shed, but all together may not outgrow the sum of the bounds.
-func (g *Group) bound(e *entry) {
+func (g *Group) bound(now clock.Millis, e *entry) {
 	c := g.class(e.Class)
 	if c.MaxWaiting <= 0 {
 		return
@@ -41,16 +41,18 @@
 		return
 	}
 	if len(g.waiting) > g.capacity {
-		g.shed(low.victim())
+		g.shed(low.victim(now))
 		return
 	}
 	if c.waiting > c.MaxWaiting && low.Tier <= c.Tier {
-		g.shed(c.victim())
+		g.shed(c.victim(now))
 	}
 }
 
 // shedHopeless sheds requests of the lowest tier that cannot be reached while
-// they are of use, even if no further request arrives.
+// they are of use, even if no further request arrives. If a higher tier has
+// requests that are past their use, the lowest tier sheds too, until the
+// higher one may: nothing lower would be reached before those.
 func (g *Group) shedHopeless(now clock.Millis) {
 	for {
 		c := g.lowest()
@@ -58,13 +60,27 @@
 			return
 		}
 		e := c.oldest()
-		if now+g.waitEstimate(c.tier) <= e.usefulUntil() {
+		if now+g.waitEstimate(c.tier) <= e.usefulUntil() && !g.pastUseAbove(now, c.tier) {
 			return
 		}
 		g.shed(e)
 	}
 }
 
+func (g *Group) pastUseAbove(now clock.Millis, low *tier) bool {
+	for _, t := range g.tiers {
+		if t == low {
+			return false
+		}
+		for _, c := range t.classes {
+			if c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // usefulUntil is the time until which a request is kept waiting while there is
 // more work than slots: twice its target. An answer that begins later is late
 // for its caller, and makes others late.
