A backend server that cannot be reached gets no work at once

Cause: nothing told the scheduler that an attempt had found a server gone or leaving: Done carried the outcome, and nobody read it.

Change: the Decider keeps a state for each server in a chart. Unreachable, or three failures in a row, suspends it; after a pause that doubles it gets one request at a time until one ends well. One failing request that visits several servers suspends none of them.

Found: the first form filled a server on trial with all its slots, because the weights were set after the states; TestLostServer wanted 1 grant and saw 4. After: passes.

--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -53,7 +53,8 @@
 	chooser *pick.Chooser
 	lengths *learn.Lengths
 	margin  *learn.Lengths
-	servers []string
+	health  *health
+	servers []sched.Server
 	// waiting and running are the requests by id.
 	waiting map[string]sched.Request
 	running map[string]*running
@@ -74,6 +75,7 @@
 	d := &Decider{
 		tracker: speed.New(),
 		lengths: learn.New(lengthKeys),
+		health:  newHealth(),
 		margin:  learn.New(1),
 		waiting: map[string]sched.Request{},
 		running: map[string]*running{},
@@ -114,17 +116,15 @@
 	for _, s := range list {
 		listed[s.Name] = true
 	}
-	for _, name := range d.servers {
-		if !listed[name] {
-			d.tracker.Forget(name)
-			d.chooser.Forget(name)
+	for _, s := range d.servers {
+		if !listed[s.Name] {
+			d.tracker.Forget(s.Name)
+			d.chooser.Forget(s.Name)
+			d.health.forget(s.Name)
 		}
 	}
-	d.servers = d.servers[:0]
-	for _, s := range list {
-		d.servers = append(d.servers, s.Name)
-	}
-	d.group.SetServers(now, list)
+	d.servers = append([]sched.Server(nil), list...)
+	d.group.SetServers(now, d.health.apply(d.servers))
 }
 
 // Offer adds a waiting request.
@@ -191,10 +191,21 @@
 	if v := d.running[done.ID]; v != nil && done.Outcome == sched.OutcomeDone {
 		d.lengths.Grown(lengthKey(v.request), v.counted, done.Tokens)
 	}
+	d.judge(now, done)
 	d.forget(now, done.ID)
 	d.group.Release(now, done)
 }
 
+// judge takes what the end of a request says of its server. It comes before
+// the slot is freed, so that the slot of a lost server goes to nobody.
+func (d *Decider) judge(now clock.Millis, done sched.Done) {
+	v := d.running[done.ID]
+	if v != nil && d.health.ended(now, v.server, done.Outcome) {
+		d.weigh(now)
+		d.group.SetServers(now, d.health.apply(d.servers))
+	}
+}
+
 func (d *Decider) observe(now clock.Millis, p sched.Progress) {
 	v := d.running[p.ID]
 	if v == nil {
@@ -228,12 +239,22 @@
 // Tick lets time pass: it weighs the servers anew, refuses what has expired
 // and serves due floors.
 func (d *Decider) Tick(now clock.Millis) {
-	for _, name := range d.servers {
-		d.group.SetWeight(name, d.tracker.Weight(now, name))
+	changed := d.health.waited(now)
+	d.weigh(now)
+	if changed {
+		d.group.SetServers(now, d.health.apply(d.servers))
 	}
 	d.group.Tick(now)
 }
 
+// weigh sets the share of its slots that each server keeps. It comes before a
+// change of states, so that a server on trial is not filled by that change.
+func (d *Decider) weigh(now clock.Millis) {
+	for _, s := range d.servers {
+		d.group.SetWeight(s.Name, d.Weight(now, s.Name))
+	}
+}
+
 // Take returns the decisions since the last call.
 func (d *Decider) Take(now clock.Millis) []sched.Decision {
 	decisions := d.group.Take()
@@ -257,5 +278,5 @@
 
 // Weight is the share of its slots that a server keeps, 1 if it is not slow.
 func (d *Decider) Weight(now clock.Millis, server string) float64 {
-	return d.tracker.Weight(now, server)
+	return d.health.weight(server, d.tracker.Weight(now, server))
 }
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -115,10 +115,13 @@
 
 // The outcomes.
 const (
-	OutcomeDone      Outcome = "Done"
-	OutcomeFailed    Outcome = "Failed"
-	OutcomeCancelled Outcome = "Cancelled"
-	OutcomeSilent    Outcome = "Silent"
+	OutcomeDone   Outcome = "Done"
+	OutcomeFailed Outcome = "Failed"
+	// OutcomeUnreachable: the server took no connection or said that it is
+	// leaving.
+	OutcomeUnreachable Outcome = "Unreachable"
+	OutcomeCancelled   Outcome = "Cancelled"
+	OutcomeSilent      Outcome = "Silent"
 )
 
 // Progress is what the entry host has seen of a running request so far.
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -108,15 +108,28 @@
 }
 
 var outcomes = map[noteKind]sched.Outcome{
-	noteEnd:    sched.OutcomeDone,
-	noteFinal:  sched.OutcomeDone,
-	noteFailed: sched.OutcomeFailed,
+	noteEnd:   sched.OutcomeDone,
+	noteFinal: sched.OutcomeDone,
+}
+
+var causeOutcomes = map[Cause]sched.Outcome{
+	CauseUnreachable: sched.OutcomeUnreachable,
+	CauseLeaving:     sched.OutcomeUnreachable,
+	CauseSilent:      sched.OutcomeSilent,
+}
+
+// OutcomeOf is what the scheduler is told of a failure.
+func OutcomeOf(c Cause) sched.Outcome {
+	if o, ok := causeOutcomes[c]; ok {
+		return o
+	}
+	return sched.OutcomeFailed
 }
 
 func (a *attempt) giveBack(last note) {
 	outcome := outcomes[last.kind]
-	if last.cause == CauseSilent {
-		outcome = sched.OutcomeSilent
+	if last.kind == noteFailed {
+		outcome = OutcomeOf(last.cause)
 	}
 	if a.ctx.Err() != nil {
 		outcome = sched.OutcomeCancelled
