--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -21,15 +21,21 @@
 //
 // A slot is of no use to a request whose model the server has not loaded, to
 // long work on a server whose slots for long work are taken, and to tiers
-// below Headroom.Tier on a server that has only its headroom left.
+// below Headroom.Tier on a server that has only its headroom left. A floor may
+// use the headroom, and one slot for long work above the cap.
 //
 // # Shedding
 //
-// A queue that is full, or whose requests cannot be reached before their
-// callers give up, sheds by tier alone: the request comes from the lowest tier
-// that has a class with more than one waiting request. The one request that
-// each class keeps is what its floor is given to. Within a class the workspace
-// with the most waiting requests for its weight loses one.
+// A queue that is full sheds, and so does one whose oldest request could not be
+// given a slot within twice its target even if nothing more arrived. Both shed
+// by tier alone: the request comes from the lowest tier that has a class with
+// more than one waiting request. The one request that each class keeps is what
+// its floor is given to. While a tier has requests that have waited past twice
+// their target, the tiers below it shed until that one may: they would not be
+// reached before it.
+//
+// Within a class the workspace with the most waiting requests for its weight
+// loses one: the oldest, or for a full queue without late requests the newest.
 //
 // # Usage
 //
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -20,10 +20,15 @@
 	// PromptTokens and PredictedTokens are lengths in tokens.
 	PromptTokens    int
 	PredictedTokens int
+	// MaxTokens is the longest answer that the caller allows, 0 for any.
+	MaxTokens int
 	// Prefix names the prompt's beginning for prefix affinity, 0 for none.
 	Prefix uint64
 	// Spilled tells that the request comes from another failure domain.
 	Spilled bool
+	// NotRepeatable tells that the request may be sent once only, so that it
+	// is not used to probe a slow server.
+	NotRepeatable bool
 	// Avoid names servers that have just failed this request.
 	Avoid []string
 }
@@ -110,10 +115,13 @@
 
 // The outcomes.
 const (
-	OutcomeDone      Outcome = "Done"
-	OutcomeFailed    Outcome = "Failed"
-	OutcomeCancelled Outcome = "Cancelled"
-	OutcomeSilent    Outcome = "Silent"
+	OutcomeDone   Outcome = "Done"
+	OutcomeFailed Outcome = "Failed"
+	// OutcomeUnreachable: the server took no connection or said that it is
+	// leaving.
+	OutcomeUnreachable Outcome = "Unreachable"
+	OutcomeCancelled   Outcome = "Cancelled"
+	OutcomeSilent      Outcome = "Silent"
 )
 
 // Progress is what the entry host has seen of a running request so far.
