--- /dev/null
+++ b/internal/serve/orders/orders.go
@@ -0,0 +1,91 @@
+// Package orders carries the orders of share/order to engines over HTTP.
+//
+//	GET /state    the engine's state as JSON
+//	POST /orders  one order as JSON; 409 for an old fencing number
+//
+// # Usage
+//
+//	e := &orders.Engines{Client: client, Timeout: 2_000}
+//	d := &order.Driver{Read: e.Read, Send: e.Send, ...}
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/order"
+)
+
+// defaultTimeout is in milliseconds.
+const defaultTimeout = 2 * clock.Second
+
+// Engines speaks to the engines. Its fields are set before use.
+type Engines struct {
+	Client *wire.Client
+	// Timeout bounds each call, in milliseconds.
+	Timeout clock.Millis
+}
+
+// Read reads back an engine's state.
+func (e *Engines) Read(ctx context.Context, w order.Want) (order.State, error) {
+	var s order.State
+	status, body, err := e.call(ctx, w, http.MethodGet, "/state", nil)
+	if err != nil {
+		return s, err
+	}
+	if status != http.StatusOK {
+		return s, fmt.Errorf("state of %s: status %d", w.Server, status)
+	}
+	if err := json.Unmarshal(body, &s); err != nil {
+		return s, errors.Wrapf(err, "state of %s", w.Server)
+	}
+	return s, nil
+}
+
+// Send gives an order once. It returns order.ErrStale where the engine refuses
+// the order's number.
+func (e *Engines) Send(ctx context.Context, w order.Want, o order.Order) error {
+	text, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	status, _, err := e.call(ctx, w, http.MethodPost, "/orders", text)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusConflict:
+		return fmt.Errorf("order %s to %s: %w", o.ID, w.Server, order.ErrStale)
+	case status >= http.StatusMultipleChoices:
+		return fmt.Errorf("order %s to %s: status %d", o.ID, w.Server, status)
+	}
+	return nil
+}
+
+func (e *Engines) call(ctx context.Context, w order.Want, method, path string, body []byte) (int, []byte, error) {
+	timeout := e.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	answer, _, err := e.Client.Do(ctx, wire.Request{
+		Address: w.Address,
+		Method:  method,
+		Path:    path,
+		Headers: []wire.Header{{Name: "Content-Type", Value: "application/json"}},
+		Body:    body,
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	return answer.Status, text, err
+}
--- a/internal/share/lease/lease_test.go
+++ b/internal/share/lease/lease_test.go
@@ -131,7 +131,7 @@
 // off from the table, and a release hands over at once.
 func TestHandOver(t *testing.T) {
 	c := qt.New(t)
-	g := newGroup(nil)
+	g := newGroup(func() flaky.Fault { return flaky.Delayed })
 	a, b := g.hosts[0], g.hosts[1]
 	a.Step(ctx)
 	fence, ok := a.Holds()
@@ -160,4 +160,12 @@
 	fence, ok = a.Holds()
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(fence, qt.Equals, uint64(3))
+
+	// A release on its way must not leave its host a right.
+	g.faulty = true
+	a.Release(ctx)
+	g.faulty = false
+	a.Step(ctx)
+	_, ok = a.Holds()
+	c.Assert(ok, qt.IsFalse)
 }
