Keeper protocol: one decision for each group of backend servers

A tier has to mean the same over all entry hosts of a failure domain. The host that wins the rendezvous hash on a group decides for it; hosts that lose it decide alone on their share until it or another one answers, and a new keeper is rebuilt from what the hosts run.

--- a/internal/share/hosts/view.go
+++ b/internal/share/hosts/view.go
@@ -119,7 +119,7 @@
 	var best Host
 	var bestWeight uint64
 	for _, h := range hosts {
-		weight := weigh(key, h.Name)
+		weight := Weight(key, h.Name)
 		if best.Name == "" || weight > bestWeight || (weight == bestWeight && h.Name < best.Name) {
 			best, bestWeight = h, weight
 		}
@@ -127,9 +127,9 @@
 	return best, best.Name != ""
 }
 
-// weigh hashes a key and a name. FNV alone changes too little in the high bits
+// Weight is the rendezvous hash of a key and a name; the highest wins. FNV alone changes too little in the high bits
 // for names that differ in the last letter, so the sum is mixed once more.
-func weigh(key, name string) uint64 {
+func Weight(key, name string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(key))
 	_, _ = sum.Write([]byte{0})
--- /dev/null
+++ b/internal/share/keep/core.go
@@ -0,0 +1,345 @@
+package keep
+
+import (
+	"slices"
+	"strconv"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/audit"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/policy/spill"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/link"
+)
+
+// When what happens, in milliseconds.
+const (
+	AskWait     = 150 * clock.Millis(1) // an ask without any answer
+	LostWait    = 500 * clock.Millis(1) // reports without any answer
+	ReportEvery = 200 * clock.Millis(1)
+	retryWait   = 25 * clock.Millis(1) // after the answer that the peer is no keeper
+	rebuildWait = 400 * clock.Millis(1)
+	serversWait = 100 * clock.Millis(1) // between looks at the list of servers
+	digestLife  = 2 * clock.Second
+	// progressWait is the longest time without a report of a running request.
+	progressWait = clock.Second
+	// reassertWait is between repetitions of an ask that waits at its keeper,
+	// since the grant or the ask may have been lost on the way.
+	reassertWait = clock.Second
+	// callerWait is how long a host may be silent before what it holds is
+	// freed, even if the membership has never known it.
+	callerWait = 5 * clock.Second
+)
+
+// seams is what the core asks of the rest of the program.
+type seams struct {
+	services func() []string
+	servers  func(service, domain string) []sched.Server
+	settings func(service string) (sched.Settings, uint64)
+	// random returns a number below its argument.
+	random func(int) int
+	// watch, where set, returns an auditor for a keeper's new group.
+	watch func(sched.Settings) *audit.Auditor
+}
+
+// askState is how far a request of this host has come.
+type askState string
+
+const (
+	stateAsking  askState = "Asking"  // no answer yet
+	stateQueued  askState = "Queued"  // waits at the keeper
+	stateAlone   askState = "Alone"   // waits in this host's own group
+	stateRunning askState = "Running" // granted
+)
+
+// ask is a request of this host.
+type ask struct {
+	seq      uint64
+	request  sched.Request
+	group    string
+	keeper   string
+	state    askState
+	since    clock.Millis // in this state
+	began    clock.Millis // when it was first placed with this view
+	retryAt  clock.Millis
+	server   string
+	fallback bool
+	abroad   string // the other failure domain that has been tried
+	asked    clock.Millis
+	progress sched.Progress
+	reported progressMark
+}
+
+type progressMark struct {
+	at     clock.Millis
+	tokens int
+	first  bool
+}
+
+// result ends the wait of an ask.
+type result struct {
+	id      string
+	grant   Grant
+	refusal *Refusal
+}
+
+// peerState is what an asker knows of a keeper.
+type peerState struct {
+	heard    clock.Millis
+	reported clock.Millis // when the last report was sent
+	unheard  clock.Millis // since when reports wait for an answer, 0 for none
+	lost     bool
+	// incarnation is the one that was last heard.
+	incarnation int64
+	whole       map[string]bool // groups whose whole list it wants
+	round       uint64          // the number of the last report
+	// active holds the groups of which the keeper may hold something of this
+	// host, with the round in which that was last so. They are reported until
+	// the keeper has confirmed a later report: a lost Done frees its slot then.
+	active map[string]uint64
+}
+
+// known is the last digest of a group.
+type known struct {
+	digest sched.Digest
+	at     clock.Millis
+}
+
+// core decides for one host, as asker and as keeper. It reads no clock and
+// touches no network.
+type core struct {
+	self   link.Peer
+	domain string
+	// groupSize is the most servers of a group; 0 has no keepers at all.
+	groupSize int
+	seams     seams
+	view      hosts.View
+	asks      map[uint64]*ask
+	byID      map[string]*ask
+	lastSeq   uint64
+	peers     map[string]*peerState
+	alone     map[string]*decider
+	digests   map[string]known
+	spillBy   map[string]*spill.Policy
+	desks     map[string]*desk
+	// callers is when each host was last heard as an asker.
+	callers map[string]clock.Millis
+	out     map[string]*packet
+	order   []string
+	ended   []result
+	looked  clock.Millis
+	tally   func(event string)
+}
+
+func newCore(self link.Peer, domain string, groupSize int, s seams) *core {
+	return &core{
+		self: self, domain: domain, groupSize: groupSize, seams: s,
+		asks: map[uint64]*ask{}, byID: map[string]*ask{}, peers: map[string]*peerState{},
+		alone: map[string]*decider{}, digests: map[string]known{}, spillBy: map[string]*spill.Policy{},
+		desks: map[string]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
+		tally: func(string) {},
+	}
+}
+
+// to returns the packet that grows for a peer.
+func (c *core) to(peer string) *packet {
+	p, ok := c.out[peer]
+	if !ok {
+		p = &packet{}
+		c.out[peer] = p
+		c.order = append(c.order, peer)
+	}
+	return p
+}
+
+// take returns the next packet to send.
+func (c *core) take() (string, *packet, bool) {
+	if len(c.order) == 0 {
+		return "", nil, false
+	}
+	peer := c.order[0]
+	c.order = c.order[1:]
+	p := c.out[peer]
+	delete(c.out, peer)
+	return peer, p, true
+}
+
+func (c *core) peer(name string) *peerState {
+	p, ok := c.peers[name]
+	if !ok {
+		p = &peerState{whole: map[string]bool{}, active: map[string]uint64{}}
+		c.peers[name] = p
+	}
+	return p
+}
+
+// idOf is the name of a request at its keeper.
+func idOf(from link.Peer, seq uint64) string {
+	return from.Name + "/" + strconv.FormatInt(from.Incarnation, 36) + "/" + strconv.FormatUint(seq, 36)
+}
+
+func (c *core) keeperOf(name string) (string, bool) {
+	if c.groupSize < 1 {
+		return "", false
+	}
+	_, domain := parseGroup(name)
+	h, ok := hosts.Winner(name, c.view.Duty(domain))
+	return h.Name, ok
+}
+
+func (c *core) groups(service, domain string) []group {
+	size := c.groupSize
+	if size < 1 {
+		size = GroupSize
+	}
+	return split(service, domain, size, c.seams.servers(service, domain))
+}
+
+func (c *core) groupNamed(name string) (group, bool) {
+	service, domain := parseGroup(name)
+	for _, g := range c.groups(service, domain) {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return group{}, false
+}
+
+// receive takes a packet from a peer, or from this host itself.
+func (c *core) receive(now clock.Millis, from link.Peer, p *packet) {
+	c.heard(now, from)
+	c.callers[from.Name] = now
+	for _, m := range p.Asks {
+		c.onAsk(now, from, m)
+	}
+	for _, m := range p.Dones {
+		c.onDone(now, from, m)
+	}
+	for _, m := range p.Reports {
+		c.onReport(now, from, m)
+	}
+	for _, m := range p.Rebuilt {
+		c.onRebuilt(now, from, m)
+	}
+	for _, m := range p.Verdicts {
+		c.onVerdict(now, from.Name, m)
+	}
+	for _, m := range p.Backs {
+		c.onBack(now, from.Name, m)
+	}
+	for _, m := range p.Rebuilds {
+		c.onRebuild(now, from.Name, m)
+	}
+	c.collect(now)
+}
+
+// heard takes a sign of life of a peer. One that has started anew has forgotten
+// what it was asked.
+func (c *core) heard(now clock.Millis, from link.Peer) {
+	p, ok := c.peers[from.Name]
+	if !ok {
+		return
+	}
+	restarted := p.incarnation != 0 && from.Incarnation > p.incarnation
+	p.incarnation = from.Incarnation
+	p.heard, p.unheard, p.lost = now, 0, false
+	if !restarted {
+		return
+	}
+	for _, a := range c.sorted() {
+		waits := a.state == stateAsking || a.state == stateQueued
+		if waits && a.keeper == from.Name {
+			c.move(now, a)
+		}
+	}
+}
+
+// setView follows the membership: keepers change, and the dead hold nothing.
+func (c *core) setView(now clock.Millis, v hosts.View) {
+	if v.Number <= c.view.Number {
+		return
+	}
+	before := c.view
+	c.view = v
+	c.dropDead(now, before)
+	c.reviewDesks(now)
+	for _, a := range c.sorted() {
+		keeper, ok := c.keeperOf(a.group)
+		if ok && keeper == a.keeper {
+			continue
+		}
+		if a.state != stateRunning {
+			c.move(now, a)
+			continue
+		}
+		a.keeper = keeper
+		c.reportWhole(keeper, a.group)
+	}
+	for name := range c.peers {
+		if _, ok := v.Find(name); !ok {
+			delete(c.peers, name)
+		}
+	}
+	c.collect(now)
+}
+
+// move withdraws a waiting request from where it waits and places it anew.
+func (c *core) move(now clock.Millis, a *ask) {
+	c.withdraw(now, a)
+	a.began = now
+	c.place(now, a)
+}
+
+func (c *core) sorted() []*ask {
+	all := make([]*ask, 0, len(c.asks))
+	for _, a := range c.asks {
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(x, y *ask) int { return int(x.seq) - int(y.seq) })
+	return all
+}
+
+// tick lets time pass.
+func (c *core) tick(now clock.Millis) {
+	c.tickDesks(now)
+	for _, a := range c.sorted() {
+		c.tickAsk(now, a)
+	}
+	c.tickPeers(now)
+	for _, g := range c.alone {
+		g.tick(now)
+	}
+	c.collect(now)
+}
+
+// collect turns the decisions of all sched.Groups into verdicts and results.
+func (c *core) collect(now clock.Millis) {
+	for _, name := range sortedKeys(c.desks) {
+		c.collectDesk(now, c.desks[name])
+	}
+	for _, name := range sortedKeys(c.alone) {
+		for _, d := range c.alone[name].take() {
+			c.onAlone(now, d)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// takeFor returns the packet for one peer, if there is one.
+func (c *core) takeFor(peer string) (*packet, bool) {
+	p, ok := c.out[peer]
+	if !ok {
+		return nil, false
+	}
+	delete(c.out, peer)
+	c.order = slices.DeleteFunc(c.order, func(name string) bool { return name == peer })
+	return p, true
+}
--- /dev/null
+++ b/internal/share/keep/groups.go
@@ -0,0 +1,102 @@
+package keep
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/share/hosts"
+)
+
+// GroupSize is the most backend servers that one keeper decides for.
+const GroupSize = 8
+
+// group is a few backend servers of a service in a failure domain.
+type group struct {
+	Name    string
+	Service string
+	Domain  string
+	Servers []sched.Server
+}
+
+// split divides the servers of a service in a failure domain into groups of
+// nearly the same size, in the order of their names. Ten servers at a size of
+// eight make two groups of five.
+func split(service, domain string, size int, servers []sched.Server) []group {
+	sorted := slices.Clone(servers)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Name < sorted[j].Name })
+	count := (len(sorted) + size - 1) / size
+	groups := make([]group, 0, count)
+	for i := range count {
+		from, to := i*len(sorted)/count, (i+1)*len(sorted)/count
+		groups = append(groups, group{
+			Name:    fmt.Sprintf("%s/%s/%d", service, domain, i),
+			Service: service, Domain: domain, Servers: sorted[from:to],
+		})
+	}
+	return groups
+}
+
+// parseGroup returns the service and the failure domain of a group's name.
+func parseGroup(name string) (service, domain string) {
+	parts := strings.Split(name, "/")
+	if len(parts) != 3 {
+		return "", ""
+	}
+	return parts[0], parts[1]
+}
+
+func (g group) names() []string {
+	names := make([]string, 0, len(g.Servers))
+	for _, s := range g.Servers {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (g group) serves(model string) bool {
+	return slices.ContainsFunc(g.Servers, func(s sched.Server) bool {
+		return model == "" || len(s.Models) == 0 || slices.Contains(s.Models, model)
+	})
+}
+
+// shareOf returns the group with the slots that a host may use when it decides
+// alone: of each server its equal part, and the remainder goes to the hosts
+// that win the rendezvous hash on the server. Over all hosts that adds up to
+// the slots. A host that gets none has one slot on the first server that is up.
+func shareOf(g group, self string, live []hosts.Host) group {
+	shared := g
+	shared.Servers = slices.Clone(g.Servers)
+	total := 0
+	for i, s := range shared.Servers {
+		slots := s.Slots / max(1, len(live))
+		if rank(s.Name, self, live) < s.Slots%max(1, len(live)) {
+			slots++
+		}
+		shared.Servers[i].Slots = slots
+		total += slots
+	}
+	if total > 0 {
+		return shared
+	}
+	for i, s := range shared.Servers {
+		if s.State == sched.ServerUp {
+			shared.Servers[i].Slots = 1
+			return shared
+		}
+	}
+	return shared
+}
+
+// rank counts the hosts that come before this one on a server.
+func rank(server, self string, live []hosts.Host) int {
+	ours, before := hosts.Weight(server, self), 0
+	for _, h := range live {
+		if h.Name != self && hosts.Weight(server, h.Name) > ours {
+			before++
+		}
+	}
+	return before
+}
--- /dev/null
+++ b/internal/share/keep/report.go
@@ -0,0 +1,177 @@
+package keep
+
+import (
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/sched"
+)
+
+// tickPeers sends the reports that are due and finds keepers that no longer
+// answer them.
+func (c *core) tickPeers(now clock.Millis) {
+	held := map[string]map[string]*reportMessage{}
+	for _, a := range c.sorted() {
+		if keeper, ok := c.keeperOf(a.group); ok {
+			c.addReport(now, keeper, held, a)
+		}
+	}
+	for name, p := range c.peers {
+		c.addActive(now, name, p, held)
+		// A lost keeper is reported to although nothing is held there, so that
+		// its answer shows that it is back.
+		if p.lost && held[name] == nil && now-p.reported >= ReportEvery {
+			held[name] = map[string]*reportMessage{}
+		}
+	}
+	for _, keeper := range sortedKeys(held) {
+		c.report(now, keeper, held[keeper])
+	}
+}
+
+// addActive adds an empty report for each group in which nothing is left, until
+// the keeper confirms that.
+func (c *core) addActive(now clock.Millis, name string, p *peerState, held map[string]map[string]*reportMessage) {
+	if now-p.reported < ReportEvery {
+		return
+	}
+	for group := range p.active {
+		if held[name] == nil {
+			held[name] = map[string]*reportMessage{}
+		}
+		if held[name][group] == nil {
+			held[name][group] = &reportMessage{Group: group, Whole: p.whole[group]}
+		}
+	}
+}
+
+// addReport adds one request to the report of its group, if one is due.
+func (c *core) addReport(now clock.Millis, keeper string, held map[string]map[string]*reportMessage, a *ask) {
+	p := c.peer(keeper)
+	if now-p.reported < ReportEvery {
+		return
+	}
+	if held[keeper] == nil {
+		held[keeper] = map[string]*reportMessage{}
+	}
+	m := held[keeper][a.group]
+	if m == nil {
+		m = &reportMessage{Group: a.group, Whole: p.whole[a.group]}
+		held[keeper][a.group] = m
+	}
+	if a.state != stateRunning {
+		return
+	}
+	m.Hash += seqHash(a.seq)
+	if m.Whole {
+		m.Runs = append(m.Runs, runMessage{Ask: newAsk(now, a.group, a.seq, a.request), Server: a.server})
+	}
+	if a.worthReporting(now) {
+		m.Progress = append(m.Progress, newProgress(a.seq, a.progress))
+		a.reported = progressMark{at: now, tokens: a.progress.Tokens, first: a.progress.FirstToken >= 0}
+	}
+}
+
+// worthReporting limits the reports of a long answer: its first token, each
+// doubling of its length, and otherwise once each progressWait.
+func (a *ask) worthReporting(now clock.Millis) bool {
+	if a.progress.Tokens == 0 && a.progress.FirstToken < 0 {
+		return false
+	}
+	return a.progress.FirstToken >= 0 && !a.reported.first ||
+		a.progress.Tokens >= 2*max(1, a.reported.tokens) ||
+		now-a.reported.at >= progressWait
+}
+
+// seqHash spreads a number, so that sums of few differ.
+func seqHash(seq uint64) uint64 {
+	x := seq * 0x9e3779b97f4a7c15
+	return x ^ x>>29
+}
+
+func (c *core) report(now clock.Millis, keeper string, reports map[string]*reportMessage) {
+	p := c.peer(keeper)
+	p.reported = now
+	p.round++
+	if p.unheard == 0 {
+		p.unheard = now
+	}
+	if !p.lost && now-p.unheard >= LostWait {
+		p.lost = true
+		c.tally("KeeperLost")
+	}
+	out := c.to(keeper)
+	if len(reports) == 0 {
+		out.Reports = append(out.Reports, reportMessage{})
+	}
+	for _, name := range sortedKeys(reports) {
+		reports[name].Round = p.round
+		out.Reports = append(out.Reports, *reports[name])
+		delete(p.whole, name)
+	}
+}
+
+// onBack takes the answer to a report.
+func (c *core) onBack(now clock.Millis, from string, m backMessage) {
+	if m.Group == "" {
+		return
+	}
+	if m.Digest != (sched.Digest{}) {
+		c.digests[m.Group] = known{digest: m.Digest, at: now}
+	}
+	p := c.peer(from)
+	if m.WantWhole {
+		p.whole[m.Group] = true
+	}
+	if last, ok := p.active[m.Group]; ok && m.Same && m.Round > last {
+		delete(p.active, m.Group)
+	}
+}
+
+// onRebuild answers a new keeper with what this host runs on its servers.
+func (c *core) onRebuild(now clock.Millis, from string, m rebuildMessage) {
+	answer := rebuiltMessage{Group: m.Group}
+	servers := map[string]bool{}
+	for _, s := range m.Servers {
+		servers[s] = true
+	}
+	for _, a := range c.sorted() {
+		if a.state == stateRunning && servers[a.server] {
+			a.group = m.Group
+			answer.Runs = append(answer.Runs, runMessage{Ask: newAsk(now, m.Group, a.seq, a.request), Server: a.server})
+		}
+	}
+	p := c.to(from)
+	p.Rebuilt = append(p.Rebuilt, answer)
+}
+
+// reportWhole sends a keeper the whole list with the next tick.
+func (c *core) reportWhole(keeper, group string) {
+	if keeper == "" {
+		return
+	}
+	p := c.peer(keeper)
+	p.whole[group] = true
+	p.reported = 0
+}
+
+// regroup follows a change in the list of servers: what runs on a server is
+// reported to the group that the server now belongs to.
+func (c *core) regroup() {
+	at := map[string]string{}
+	for _, service := range c.seams.services() {
+		for _, g := range c.groups(service, c.domain) {
+			for _, s := range g.Servers {
+				at[s.Name] = g.Name
+			}
+		}
+	}
+	for _, a := range c.asks {
+		name, ok := at[a.server]
+		if !ok || a.state != stateRunning || a.group == name {
+			continue
+		}
+		a.group = name
+		if keeper, ok := c.keeperOf(name); ok {
+			c.reportWhole(keeper, name)
+		}
+	}
+}
