--- a/internal/tools/bench/fault.go
+++ b/internal/tools/bench/fault.go
@@ -67,5 +67,24 @@
 func startCut(w *world, f Fault) func() {
 	at := slices.IndexFunc(w.domains, func(d Domain) bool { return d.Name == f.Domain })
 	w.cutOff[at] = true
+	w.loseAcross()
+	w.onCut()
 	return func() { w.cutOff[at] = false }
 }
+
+// loseAcross breaks the connections that cross the cut: the host notices after
+// a time of silence, and so does the server.
+func (w *world) loseAcross() {
+	for _, place := range w.hostPlaces() {
+		for _, a := range w.openAttempts(place) {
+			if !w.cut(place.domain, a.server.domain) {
+				continue
+			}
+			a.lost = true
+			w.after(silentTimeout, func() {
+				a.server.cancel(a)
+				a.fail()
+			})
+		}
+	}
+}
--- a/internal/tools/bench/naive.go
+++ b/internal/tools/bench/naive.go
@@ -26,15 +26,15 @@
 
 func newNaive(w *world) router {
 	n := &naive{world: w, turns: map[hostPlace]int{}}
-	return router{arrive: n.send, failed: n.failed, done: func(*attempt) {}}
+	ignore := func(*attempt) {}
+	return router{arrive: n.send, first: ignore, failed: n.failed, done: ignore}
 }
 
 func (n *naive) send(r *request) {
 	servers := n.world.serversOf(r.domain)
 	turn := n.turns[r.hostPlace()]
 	n.turns[r.hostPlace()]++
-	r.send(servers[turn%len(servers)], 0, false)
-	a := r.attempt
+	a := r.send(servers[turn%len(servers)], 0, false)
 	n.world.after(r.class.MaxWaitMilliseconds/naiveTries, func() {
 		if !a.over && r.got == 0 {
 			a.cancel()
@@ -49,7 +49,7 @@
 	switch {
 	case r.got > 0:
 		r.end(endingBroken, why)
-	case r.tries >= naiveTries:
+	case len(r.attempts) >= naiveTries:
 		r.end(endingRefused, why)
 	default:
 		n.send(r)
--- a/internal/tools/bench/policies.go
+++ b/internal/tools/bench/policies.go
@@ -51,12 +51,12 @@
 
 // newAlone gives each host a keeper of its own for all servers of its domain.
 func newAlone(w *world) router {
-	k := &kept{world: w, choices: map[hostPlace][]*keeper{}}
-	for _, place := range w.hostPlaces() {
-		share := max(1, w.deployment.SlotsPerServer/w.domains[place.domain].Hosts)
-		one := newKeeper(w, place, w.serversOf(place.domain), share)
+	k := newKept(w)
+	for _, h := range k.order {
+		share := max(1, w.deployment.SlotsPerServer/w.domains[h.place.domain].Hosts)
+		one := newKeeper(w, h.place, w.serversOf(h.place.domain), share)
 		k.keepers = append(k.keepers, one)
-		k.choices[place] = []*keeper{one}
+		h.choices = []*keeper{one}
 	}
 	k.start()
 	return k.router()
@@ -69,7 +69,7 @@
 // newKeepers gives each group of servers one keeper, spread over the hosts of
 // the domain.
 func newKeepers(w *world, size int) router {
-	k := &kept{world: w, choices: map[hostPlace][]*keeper{}}
+	k := newKept(w)
 	for domain, d := range w.domains {
 		var made []*keeper
 		for part := range slices.Chunk(w.serversOf(domain), size) {
@@ -77,7 +77,7 @@
 			made = append(made, newKeeper(w, place, part, w.deployment.SlotsPerServer))
 		}
 		for host := range d.Hosts {
-			k.choices[hostPlace{domain: domain, host: host}] = made
+			k.hosts[hostPlace{domain: domain, host: host}].choices = made
 		}
 		k.keepers = append(k.keepers, made...)
 	}
