--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -17,7 +17,10 @@
 	running  []naiveEntry
 	unserved map[string]clock.Millis
 	hold     map[string]float64
-	out      []sched.Decision
+	arrived  []naiveEntry
+	// reserve is how many slots are kept for urgent tiers at present.
+	reserve int
+	out     []sched.Decision
 }
 
 type naiveEntry struct {
@@ -75,7 +78,7 @@
 		return false
 	case e.long && long >= longMost:
 		return false
-	case !floor && n.class(e.Class).Tier > n.settings.Headroom.Tier && free <= n.settings.Headroom.Slots:
+	case !floor && n.class(e.Class).Tier > n.settings.Headroom.Tier && (free <= n.settings.Headroom.Slots || n.free() <= n.reserve):
 		return false
 	}
 	return !otherServes || !slices.Contains(e.Avoid, s.Name)
@@ -165,18 +168,52 @@
 }
 
 func (n *naive) estimate(tier int) clock.Millis {
-	work, slots := 0.0, 0
+	work := 0.0
 	for _, c := range n.settings.Classes {
 		if c.Tier <= tier {
 			work += float64(n.waitingIn(c.Name)) * n.hold[c.Name]
 		}
 	}
+	return clock.Millis(work / float64(max(1, n.slots())))
+}
+
+// up sums a figure over the servers that are up.
+func (n *naive) up(figure func(sched.Server) int) int {
+	total := 0
 	for _, s := range n.servers {
 		if s.State == sched.ServerUp {
-			slots += s.Slots
+			total += figure(s)
+		}
+	}
+	return total
+}
+
+func (n *naive) slots() int { return n.up(func(s sched.Server) int { return s.Slots }) }
+
+func (n *naive) free() int {
+	return n.up(func(s sched.Server) int {
+		return max(0, s.Slots-count(n.running, func(r naiveEntry) bool { return r.server == s.Name }))
+	})
+}
+
+// updateReserve counts arrivals of the last half and the last five seconds.
+func (n *naive) updateReserve(now clock.Millis) {
+	need := 0.0
+	for _, c := range n.settings.Classes {
+		if c.Tier > n.settings.Headroom.Tier {
+			continue
+		}
+		since := func(from clock.Millis) float64 {
+			return float64(count(n.arrived, func(e naiveEntry) bool { return e.Class == c.Name && e.Arrived > now-from }))
+		}
+		growth := 1.0
+		if since(5_000) >= 20 {
+			growth = min(2, max(1, since(500)*10/since(5_000)))
 		}
+		need += growth * since(500) * n.hold[c.Name] / 500
 	}
-	return clock.Millis(work / float64(max(1, slots)))
+	held := count(n.running, func(e naiveEntry) bool { return n.class(e.Class).Tier <= n.settings.Headroom.Tier })
+	n.reserve = max(0, int(min(0.5*float64(n.slots()), need-float64(held))))
 }
 
 func (n *naive) grantFloor(now clock.Millis) bool {
@@ -197,6 +234,7 @@
 }
 
 func (n *naive) grantTier(now clock.Millis) bool {
+	n.updateReserve(now)
 	for tier := 1; tier <= 5; tier++ {
 		if at := n.first(now, false, func(e naiveEntry) bool { return n.class(e.Class).Tier == tier }); at >= 0 {
 			n.grant(now, at, false)
@@ -218,8 +256,8 @@
 	return best.Name
 }
 
-// victim returns the index of the entry that the class loses.
-func (n *naive) victim(now clock.Millis, class string) int {
+// heaviest returns the workspace with the most waiting for its weight.
+func (n *naive) heaviest(class string) string {
 	heaviest, most := "", -1.0
 	for _, e := range n.waiting {
 		per := float64(count(n.waiting, func(o naiveEntry) bool { return o.Class == class && o.Workspace == e.Workspace })) / float64(n.weight(e.Workspace))
@@ -227,21 +265,31 @@
 			heaviest, most = e.Workspace, per
 		}
 	}
-	oldest, newest := -1, -1
+	return heaviest
+}
+
+// oldest returns the index of the heaviest workspace's entry that is due first.
+func (n *naive) oldest(class string) int {
+	heaviest, oldest := n.heaviest(class), -1
 	for i, e := range n.waiting {
-		if e.Class != class || e.Workspace != heaviest {
-			continue
-		}
-		if e.Deadline < now && (oldest < 0 || e.Deadline < n.waiting[oldest].Deadline) {
+		if e.Class == class && e.Workspace == heaviest && (oldest < 0 || e.Deadline < n.waiting[oldest].Deadline) {
 			oldest = i
 		}
-		if newest < 0 || e.Deadline >= n.waiting[newest].Deadline {
+	}
+	return oldest
+}
+
+// victim returns the index of the entry that the class loses to a full queue.
+func (n *naive) victim(now clock.Millis, class string) int {
+	heaviest, newest := n.heaviest(class), -1
+	if at := n.oldest(class); n.waiting[at].Deadline < now {
+		return at
+	}
+	for i, e := range n.waiting {
+		if e.Class == class && e.Workspace == heaviest && (newest < 0 || e.Deadline >= n.waiting[newest].Deadline) {
 			newest = i
 		}
 	}
-	if oldest >= 0 {
-		return oldest
-	}
 	return newest
 }
 
@@ -268,15 +316,23 @@
 		n.bound(now, n.class(offered))
 	}
 	for low := n.lowest(); low != ""; low = n.lowest() {
-		at := n.victim(now, low)
-		e := n.waiting[at]
-		if e.Deadline >= now || now+n.estimate(n.class(low).Tier) <= e.GiveUp {
+		at := n.oldest(low)
+		tier := n.class(low).Tier
+		if now+n.estimate(tier) <= useful(n.waiting[at]) && !n.pastUseAbove(now, tier) {
 			return
 		}
 		n.refuse(at, sched.ReasonShed)
 	}
 }
 
+func useful(e naiveEntry) clock.Millis { return min(e.GiveUp, 2*e.Deadline-e.Arrived) }
+
+func (n *naive) pastUseAbove(now clock.Millis, tier int) bool {
+	return slices.ContainsFunc(n.settings.Classes, func(c sched.Class) bool {
+		return c.Tier < tier && n.waitingIn(c.Name) > 1 && useful(n.waiting[n.oldest(c.Name)]) < now
+	})
+}
+
 func (n *naive) bound(now clock.Millis, c sched.Class) {
 	total, low := 0, n.lowest()
 	for _, d := range n.settings.Classes {
@@ -299,7 +355,9 @@
 	if n.waitingIn(r.Class) == 0 {
 		n.unserved[r.Class] = now
 	}
-	n.waiting = append(n.waiting, naiveEntry{Request: r, long: r.PredictedTokens >= n.settings.LongTokens})
+	e := naiveEntry{Request: r, long: r.PredictedTokens >= n.settings.LongTokens}
+	n.waiting = append(n.waiting, e)
+	n.arrived = append(n.arrived, e)
 	n.settle(now, r.Class)
 }
 
