--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -38,6 +38,9 @@
 	// lengthQuantile is the share of answers that are no longer than what is
 	// predicted.
 	lengthQuantile = 0.7
+	// marginQuantile is the share of first tokens that come within the time
+	// that a request is started before its deadline.
+	marginQuantile = 0.9
 	// reportLag is how late in milliseconds a host's report may be.
 	reportLag = 250 * clock.Millis(1)
 )
@@ -49,7 +52,9 @@
 	tracker *speed.Tracker
 	chooser *pick.Chooser
 	lengths *learn.Lengths
-	servers []string
+	margin  *learn.Lengths
+	health  *health
+	servers []sched.Server
 	// waiting and running are the requests by id.
 	waiting map[string]sched.Request
 	running map[string]*running
@@ -60,6 +65,8 @@
 	request sched.Request
 	server  string
 	started bool
+	// counted is the length that was learnt of the unfinished answer.
+	counted int
 }
 
 // New returns a Decider without servers. The settings' Choose and FirstToken
@@ -68,6 +75,8 @@
 	d := &Decider{
 		tracker: speed.New(),
 		lengths: learn.New(lengthKeys),
+		health:  newHealth(),
+		margin:  learn.New(1),
 		waiting: map[string]sched.Request{},
 		running: map[string]*running{},
 	}
@@ -82,11 +91,20 @@
 		s.Choose = d.chooser.Choose
 	}
 	if s.FirstToken == nil {
-		s.FirstToken = func(r sched.Request) clock.Millis { return d.tracker.ExpectedFirst(r.PromptTokens) }
+		s.FirstToken = d.firstToken
 	}
 	return s
 }
 
+// firstToken is the time in milliseconds within which nearly all first tokens
+// come for such a prompt. A request that is started later than that before its
+// deadline would most likely miss it.
+func (d *Decider) firstToken(r sched.Request) clock.Millis {
+	expected := d.tracker.ExpectedFirst(r.PromptTokens)
+	percent := max(100, d.margin.Quantile(learn.Key{}, marginQuantile))
+	return expected * clock.Millis(percent) / 100
+}
+
 // SetSettings replaces the settings; what was learnt stays.
 func (d *Decider) SetSettings(now clock.Millis, s sched.Settings) {
 	d.group.SetSettings(now, d.complete(s))
@@ -98,34 +116,39 @@
 	for _, s := range list {
 		listed[s.Name] = true
 	}
-	for _, name := range d.servers {
-		if !listed[name] {
-			d.tracker.Forget(name)
-			d.chooser.Forget(name)
+	for _, s := range d.servers {
+		if !listed[s.Name] {
+			d.tracker.Forget(s.Name)
+			d.chooser.Forget(s.Name)
+			d.health.forget(s.Name)
 		}
 	}
-	d.servers = d.servers[:0]
-	for _, s := range list {
-		d.servers = append(d.servers, s.Name)
-	}
-	d.group.SetServers(now, list)
+	d.servers = append([]sched.Server(nil), list...)
+	d.group.SetServers(now, d.health.apply(d.servers))
 }
 
 // Offer adds a waiting request.
 func (d *Decider) Offer(now clock.Millis, r sched.Request) {
-	r = d.predict(r)
+	r = d.Predict(r)
 	d.waiting[r.ID] = r
 	d.group.Offer(now, r)
 }
 
-func (d *Decider) predict(r sched.Request) sched.Request {
+// Predict fills in the learnt length where the request has none.
+func (d *Decider) Predict(r sched.Request) sched.Request {
 	if r.PredictedTokens == 0 {
-		key := learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model}
-		r.PredictedTokens = d.lengths.Quantile(key, lengthQuantile)
+		r.PredictedTokens = d.lengths.Quantile(lengthKey(r), lengthQuantile)
+	}
+	if r.MaxTokens > 0 {
+		r.PredictedTokens = min(r.PredictedTokens, r.MaxTokens)
 	}
 	return r
 }
 
+func lengthKey(r sched.Request) learn.Key {
+	return learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model, Prompt: learn.PromptSize(r.PromptTokens)}
+}
+
 // Cancel withdraws a waiting request or frees the slot of a granted one.
 func (d *Decider) Cancel(now clock.Millis, id string) {
 	delete(d.waiting, id)
@@ -150,7 +173,7 @@
 
 // Adopt enters a request that runs already.
 func (d *Decider) Adopt(now clock.Millis, r sched.Request, server string) {
-	r = d.predict(r)
+	r = d.Predict(r)
 	delete(d.waiting, r.ID)
 	d.running[r.ID] = &running{request: r, server: server, started: true}
 	d.group.Adopt(now, r, server)
@@ -166,13 +189,23 @@
 func (d *Decider) Release(now clock.Millis, done sched.Done) {
 	d.observe(now, done.Progress)
 	if v := d.running[done.ID]; v != nil && done.Outcome == sched.OutcomeDone {
-		r := v.request
-		d.lengths.Observe(learn.Key{Workspace: r.Workspace, Class: r.Class, Model: r.Model}, done.Tokens)
+		d.lengths.Grown(lengthKey(v.request), v.counted, done.Tokens)
 	}
+	d.judge(now, done)
 	d.forget(now, done.ID)
 	d.group.Release(now, done)
 }
 
+// judge takes what the end of a request says of its server. It comes before
+// the slot is freed, so that the slot of a lost server goes to nobody.
+func (d *Decider) judge(now clock.Millis, done sched.Done) {
+	v := d.running[done.ID]
+	if v != nil && d.health.ended(now, v.server, done.Outcome) {
+		d.weigh(now)
+		d.group.SetServers(now, d.health.apply(d.servers))
+	}
+}
+
 func (d *Decider) observe(now clock.Millis, p sched.Progress) {
 	v := d.running[p.ID]
 	if v == nil {
@@ -180,12 +213,22 @@
 	}
 	if !v.started && p.FirstToken >= 0 && p.Tokens > 0 {
 		v.started = true
-		d.tracker.Ended(now, v.server, p.ID)
-		d.tracker.ObserveFirst(now, v.server, v.request.PromptTokens, p.FirstToken)
+		d.observeFirst(now, v, p)
+	}
+	if p.Tokens > v.request.PredictedTokens && p.Tokens >= 2*v.counted {
+		d.lengths.Grown(lengthKey(v.request), v.counted, p.Tokens)
+		v.counted = p.Tokens
 	}
 	d.tracker.Between(now, v.server, d.group.Running(v.server), p.BetweenTokens)
 }
 
+func (d *Decider) observeFirst(now clock.Millis, v *running, p sched.Progress) {
+	if expected := d.tracker.ExpectedFirst(v.request.PromptTokens); expected > 0 {
+		d.margin.Observe(learn.Key{}, int(100*p.FirstToken/expected))
+	}
+	d.tracker.FirstToken(now, v.server, p.ID, p.FirstToken)
+}
+
 func (d *Decider) forget(now clock.Millis, id string) {
 	if v := d.running[id]; v != nil {
 		d.tracker.Ended(now, v.server, id)
@@ -196,12 +239,22 @@
 // Tick lets time pass: it weighs the servers anew, refuses what has expired
 // and serves due floors.
 func (d *Decider) Tick(now clock.Millis) {
-	for _, name := range d.servers {
-		d.group.SetWeight(name, d.tracker.Weight(now, name))
+	changed := d.health.waited(now)
+	d.weigh(now)
+	if changed {
+		d.group.SetServers(now, d.health.apply(d.servers))
 	}
 	d.group.Tick(now)
 }
 
+// weigh sets the share of its slots that each server keeps. It comes before a
+// change of states, so that a server on trial is not filled by that change.
+func (d *Decider) weigh(now clock.Millis) {
+	for _, s := range d.servers {
+		d.group.SetWeight(s.Name, d.Weight(now, s.Name))
+	}
+}
+
 // Take returns the decisions since the last call.
 func (d *Decider) Take(now clock.Millis) []sched.Decision {
 	decisions := d.group.Take()
@@ -225,5 +278,5 @@
 
 // Weight is the share of its slots that a server keeps, 1 if it is not slow.
 func (d *Decider) Weight(now clock.Millis, server string) float64 {
-	return d.tracker.Weight(now, server)
+	return d.health.weight(server, d.tracker.Weight(now, server))
 }
--- a/internal/policy/sched/class.go
+++ b/internal/policy/sched/class.go
@@ -18,7 +18,8 @@
 	unserved clock.Millis
 	// hold is the mean time in milliseconds that a request keeps its slot, 0
 	// while none has ended.
-	hold float64
+	hold  float64
+	surge surge
 	// lanes are those with waiting requests.
 	lanes    []*lane
 	byKey    map[laneKey]*lane
@@ -66,25 +67,34 @@
 	return a.workspace < b.workspace
 }
 
-// victim is the entry that the class loses first: of the workspace with the
-// most waiting requests for its weight the latest one, or where none is late
-// the one that may start last.
-func (c *class) victim() *entry {
-	var oldest, newest *entry
+// victim is the entry that the class loses to a full queue: of the workspace
+// with the most waiting requests for its weight the latest one, or where none
+// is late the one that may start last.
+func (c *class) victim(now clock.Millis) *entry {
+	if e := c.oldest(); e.startBy < now {
+		return e
+	}
+	var newest *entry
 	for _, q := range c.heaviest.top().queues {
-		if first := q.entries[0]; q.late > 0 && (oldest == nil || first.before(oldest)) {
-			oldest = first
-		}
 		if last := q.entries[len(q.entries)-1]; newest == nil || newest.before(last) {
 			newest = last
 		}
 	}
-	if oldest != nil {
-		return oldest
-	}
 	return newest
 }
 
+// oldest is the entry of the workspace with the most waiting requests for its
+// weight that has to start first.
+func (c *class) oldest() *entry {
+	var oldest *entry
+	for _, q := range c.heaviest.top().queues {
+		if first := q.entries[0]; oldest == nil || first.before(oldest) {
+			oldest = first
+		}
+	}
+	return oldest
+}
+
 // buildTiers returns the classes by name and the tiers, the most urgent first.
 func buildTiers(classes []Class) (map[string]*class, []*tier) {
 	byNumber := map[int]*tier{}
