One host out of membership, manifest, keeper and claims

Cause: the host decided for itself with a fixed manifest and sent a keyed booking as often as it was asked.

Change: hostd composes links, membership, the accepted manifest, the keeper of each group, probes of the servers it keeps, and the claim desk. A request that waited is checked against the manifest again before it is sent.

Found: the load test showed 75 of 75 requests decided alone on the only host. Cause: the first membership view was made before the keeper listened for changes. TestOpenAIClient now wants no request decided alone.

--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -53,6 +53,9 @@
 	Key string
 	// Repeatable tells that the call may run more than once.
 	Repeatable bool
+	// Allowed is asked just before the call is sent, since the manifest may
+	// have changed while it waited.
+	Allowed func() *refuse.Refusal
 }
 
 // Answer is what the service answered, now or when the key was first used.
@@ -91,7 +94,7 @@
 
 // SendOnce sends a call once to the server of its grant. The fencing number is
 // 0 for none.
-type SendOnce func(ctx context.Context, method, path string, fence int64) Tried
+type SendOnce func(ctx context.Context, method, path string, fence uint64) Tried
 
 // Do makes a call and returns the service's answer or a refusal.
 func (c *Calls) Do(ctx context.Context, call Call) (Answer, *refuse.Refusal) {
@@ -116,7 +119,7 @@
 // attempt uses one grant and gives it back.
 func (c *Calls) attempt(ctx context.Context, call Call, grant relay.Grant) (Answer, Tried, *refuse.Refusal) {
 	started := c.Clock.Now()
-	outcome := sched.OutcomeDone
+	outcome := sched.OutcomeCancelled
 	defer func() {
 		took := c.Clock.Now() - started
 		c.Done(call.Request.Service, sched.Done{
@@ -124,23 +127,44 @@
 			Outcome:  outcome,
 		})
 	}()
-	if call.Key != "" {
-		answer, refusal := c.Keyed(ctx, call, c.once(call, grant))
-		if refusal != nil {
-			outcome = sched.OutcomeFailed
-		}
-		return answer, Tried{Sent: wire.SentAll}, refusal
+	if refusal := call.Allowed(); refusal != nil {
+		return Answer{}, Tried{Sent: wire.SentNothing}, refusal
+	}
+	send := c.Once(call, grant.Address)
+	if call.Key == "" {
+		tried := send(ctx, call.Method, call.Path, 0)
+		outcome = outcomeOf(tried)
+		return tried.Answer, tried, nil
 	}
-	tried := c.once(call, grant)(ctx, call.Method, call.Path, 0)
-	if tried.Err != nil {
-		outcome = sched.OutcomeFailed
+	// The send function notes how the service did; a call whose answer is
+	// replayed or that is refused sends nothing and says nothing of it.
+	last := Tried{Sent: wire.SentAll}
+	noted := func(ctx context.Context, method, path string, fence uint64) Tried {
+		last = send(ctx, method, path, fence)
+		outcome = outcomeOf(last)
+		return last
 	}
-	return tried.Answer, tried, nil
+	answer, refusal := c.Keyed(ctx, call, noted)
+	if last.Err != nil && last.Sent == wire.SentNothing {
+		return Answer{}, last, nil
+	}
+	return answer, Tried{Sent: wire.SentAll}, refusal
 }
 
-// once returns the function that sends the call to the server of the grant.
-func (c *Calls) once(call Call, grant relay.Grant) SendOnce {
-	return func(ctx context.Context, method, path string, fence int64) Tried {
+// outcomeOf is what the scheduler is told of a call that was sent.
+func outcomeOf(t Tried) sched.Outcome {
+	switch {
+	case t.Err == nil:
+		return sched.OutcomeDone
+	case t.Sent == wire.SentNothing:
+		return sched.OutcomeUnreachable
+	}
+	return sched.OutcomeFailed
+}
+
+// Once returns the function that sends the call to a server.
+func (c *Calls) Once(call Call, address string) SendOnce {
+	return func(ctx context.Context, method, path string, fence uint64) Tried {
 		headers := append([]wire.Header(nil), call.Headers...)
 		headers = append(headers,
 			wire.Header{Name: relay.HeaderRequestID, Value: call.Request.ID},
@@ -149,10 +173,10 @@
 			headers = append(headers, wire.Header{Name: HeaderIdempotencyKey, Value: call.Key})
 		}
 		if fence > 0 {
-			headers = append(headers, wire.Header{Name: HeaderFencingNumber, Value: strconv.FormatInt(fence, 10)})
+			headers = append(headers, wire.Header{Name: HeaderFencingNumber, Value: strconv.FormatUint(fence, 10)})
 		}
 		request := wire.Request{
-			Address:          grant.Address,
+			Address:          address,
 			Method:           method,
 			Path:             path,
 			Headers:          headers,
@@ -165,8 +189,15 @@
 	}
 }
 
-// errAnswerTooLarge tells that an answer is longer than MaxAnswerBytes.
-var errAnswerTooLarge = errors.New("the answer is too large")
+const statusUnavailable = 503
+
+var (
+	// errAnswerTooLarge tells that an answer is longer than MaxAnswerBytes.
+	errAnswerTooLarge = errors.New("the answer is too large")
+	// errLeaving tells that a server took nothing because it is leaving, so
+	// the call may go to another as if nothing had been sent.
+	errLeaving = errors.New("the server is leaving")
+)
 
 // read takes the whole answer. An answer that breaks off is no answer.
 func (c *Calls) read(answer wire.Answer, sent wire.Sent, err error) Tried {
@@ -174,6 +205,9 @@
 		return Tried{Sent: sent, Err: err}
 	}
 	defer func() { _ = answer.Body.Close() }() // the answer is read or of no use
+	if answer.Status == statusUnavailable && answer.Header(relay.HeaderLeaving) == "true" {
+		return Tried{Sent: wire.SentNothing, Err: errLeaving}
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(c.MaxAnswerBytes)+1))
 	if err != nil {
 		return Tried{Sent: sent, Err: err}
--- a/internal/serve/entry/chats.go
+++ b/internal/serve/entry/chats.go
@@ -78,7 +78,13 @@
 	request.PromptTokens = a.promptTokens()
 	request.MaxTokens = a.limit()
 	request.Prefix = a.prefix(v.workspace.Name)
-	return relay.Job{Request: request, Tier: v.class.Tier, Path: path, Body: body}, a, nil
+	return relay.Job{
+		Request: request,
+		Tier:    v.class.Tier,
+		Path:    path,
+		Body:    body,
+		Allowed: func() *refuse.Refusal { return e.allowed(v, service.Name) },
+	}, a, nil
 }
 
 // request is what every request of a visit tells the scheduler.
@@ -183,7 +189,7 @@
 	if view.Index == nil {
 		return refuse.New(refuse.ReasonNotReady)
 	}
-	if _, refusal := authenticate(c, view); refusal != nil {
+	if _, _, refusal := authenticate(c, view); refusal != nil {
 		return refusal
 	}
 	list := wireModels{Object: "list", Data: []wireModel{}}
--- a/internal/serve/entry/services.go
+++ b/internal/serve/entry/services.go
@@ -74,6 +74,7 @@
 		Body:       append([]byte(nil), c.PostBody()...),
 		Key:        key,
 		Repeatable: safeMethods[method] && !v.view.Index.NotRepeatable(name, method, path),
+		Allowed:    func() *refuse.Refusal { return e.allowed(v, name) },
 	}, nil
 }
 
--- a/internal/serve/entry/visits.go
+++ b/internal/serve/entry/visits.go
@@ -16,6 +16,7 @@
 type visit struct {
 	ctx       context.Context
 	view      View
+	key       string
 	workspace mfest.Workspace
 	class     mfest.Class
 	arrived   clock.Millis
@@ -32,7 +33,7 @@
 	if view.Index == nil {
 		return visit{}, refuse.New(refuse.ReasonNotReady).WithRetryAfter(clock.Second)
 	}
-	workspace, refusal := authenticate(c, view)
+	key, workspace, refusal := authenticate(c, view)
 	if refusal != nil {
 		return visit{}, refusal
 	}
@@ -48,6 +49,7 @@
 	return visit{
 		ctx:       ctx,
 		view:      view,
+		key:       key,
 		workspace: workspace,
 		class:     class,
 		arrived:   arrived,
@@ -67,20 +69,44 @@
 	return refuse.New(reason)
 }
 
+// allowed tells whether what a visit was admitted for may still be sent: the
+// host serves, and where another generation is in force by now, the workspace,
+// the class and the service stand in it too.
+func (e *Entry) allowed(v visit, service string) *refuse.Refusal {
+	now := e.View()
+	if now.Index == nil {
+		return refuse.New(refuse.ReasonNotReady).WithRetryAfter(clock.Second)
+	}
+	if now == v.view {
+		return nil
+	}
+	workspace, ok := now.Index.WorkspaceByKey(v.key)
+	if !ok || workspace.Name != v.workspace.Name {
+		return now.missing(refuse.ReasonWrongKey)
+	}
+	if _, ok := now.Index.ClassFor(workspace, v.class.Name); !ok {
+		return now.missing(refuse.ReasonUnknownClass)
+	}
+	if _, ok := now.Index.Service(service); !ok {
+		return now.missing(refuse.ReasonUnknownService)
+	}
+	return nil
+}
+
 const bearer = "Bearer "
 
 // authenticate finds the workspace of the request's key.
-func authenticate(c *fasthttp.RequestCtx, view View) (mfest.Workspace, *refuse.Refusal) {
+func authenticate(c *fasthttp.RequestCtx, view View) (string, mfest.Workspace, *refuse.Refusal) {
 	header := string(c.Request.Header.Peek("Authorization"))
 	key, ok := strings.CutPrefix(header, bearer)
 	if !ok || key == "" {
-		return mfest.Workspace{}, refuse.New(refuse.ReasonNoKey)
+		return "", mfest.Workspace{}, refuse.New(refuse.ReasonNoKey)
 	}
 	workspace, ok := view.Index.WorkspaceByKey(key)
 	if !ok {
-		return mfest.Workspace{}, view.missing(refuse.ReasonWrongKey)
+		return "", mfest.Workspace{}, view.missing(refuse.ReasonWrongKey)
 	}
-	return workspace, nil
+	return key, workspace, nil
 }
 
 // countServed counts a completed request of a class.
--- a/internal/serve/hostd/groups.go
+++ b/internal/serve/hostd/groups.go
@@ -2,100 +2,132 @@
 
 import (
 	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
 
-	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/probe"
 	"siskinsaddle/internal/serve/refuse"
 	"siskinsaddle/internal/serve/relay"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/keep"
 	"siskinsaddle/internal/share/mfest"
 )
 
-// startSolos makes the group of each service.
-func (h *Host) startSolos() {
-	h.solos = map[string]*solo{}
-	for _, service := range h.index.Manifest.Services {
-		h.solos[service.Name] = newSolo(h.Clock, schedSettings(h.index.Manifest, service))
+// keepDigest is the name under which a failure domain's load rides on
+// heartbeats.
+const keepDigest = "k"
+
+// startGroups makes the keeper's part and the probes.
+func (h *Host) startGroups() {
+	h.keeper = &keep.Node{
+		Name:          h.Settings.HostName,
+		Incarnation:   h.link.Incarnation,
+		FailureDomain: h.Settings.FailureDomain,
+		Link:          h.link,
+		Services:      h.governed.services,
+		Servers:       h.servers,
+		Settings:      h.governed.schedule,
+		Clock:         h.Clock,
+		Log:           h.Log.WithPrefix("keeper"),
+		Counters:      h.Count,
+	}
+	h.keeper.Prepare()
+	h.members.OnChange(h.keeper.ViewChanged)
+	h.members.AddDigest(hosts.Digest{Name: keepDigest, Read: h.keeper.Digest, Seen: h.keeper.DigestSeen})
+	h.prober = &probe.Prober{
+		Send:    h.client.Do,
+		Dial:    h.dial,
+		Targets: h.targets,
+		Each:    h.each,
+		Clock:   h.Clock,
+		Count:   h.Count,
 	}
 }
 
-// schedSettings is what the manifest says to the scheduler of a service.
-func schedSettings(m mfest.Manifest, service mfest.Service) sched.Settings {
-	s := sched.Settings{
-		LongTokens: service.LongTokens,
-		LongShare:  service.LongShare,
-		SpillShare: service.SpillShare,
-		Headroom:   sched.Headroom{Slots: service.HeadroomSlots, Tier: service.HeadroomTier},
+// servers lists the backend servers of a service in a failure domain, as the
+// platform's list and the probes know them.
+func (h *Host) servers(service, domain string) []sched.Server {
+	declared, ok := h.governed.index().Service(service)
+	if !ok {
+		return nil
 	}
-	for _, c := range m.Classes {
-		s.Classes = append(s.Classes, sched.Class{
-			Name:                c.Name,
-			Tier:                c.Tier,
-			FirstTokenTarget:    c.FirstTokenMilliseconds,
-			BetweenTokensTarget: c.BetweenTokensMilliseconds,
-			FloorPeriod:         c.FloorPeriodMilliseconds,
-			MaxWaiting:          c.MaxWaiting,
-		})
+	var all []sched.Server
+	for _, e := range h.machines.servers(service, domain) {
+		all = append(all, server(declared, e, h.prober.State(e.Name)))
 	}
-	for _, w := range m.Workspaces {
-		if w.Weight > 1 {
-			s.Workspaces = append(s.Workspaces, sched.Workspace{Name: w.Name, Weight: w.Weight})
-		}
-	}
-	return s
+	return all
 }
 
-// readList reads the platform's list until the host stops. A list that cannot
-// be read leaves the last one in force.
-func (h *Host) readList(ctx context.Context) {
-	for {
-		entries, err := h.List.Read(ctx)
-		if err != nil {
-			h.Log.Warn("Could not read the platform's list.", "error", err)
-		} else {
-			h.setServers(entries)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.Clock.After(h.Settings.Platform.ListPeriodMilliseconds):
-		}
+// server puts together what is known of a backend server; the worst word
+// counts.
+func server(declared mfest.Service, e roll.Entry, p probe.State) sched.Server {
+	s := sched.Server{Name: e.Name, State: sched.ServerUp, Slots: declared.SlotsPerServer}
+	switch {
+	case p.Lost:
+		s.State = sched.ServerDown
+	case p.Leaving || e.State == roll.StateLeaving:
+		s.State = sched.ServerLeaving
+	}
+	if declared.Kind == mfest.KindPlain {
+		return s
+	}
+	if p.Loaded {
+		s.Models = p.Models
+		return s
+	}
+	for _, m := range declared.Models {
+		s.Models = append(s.Models, m.Name)
 	}
+	return s
 }
 
-func (h *Host) setServers(entries []roll.Entry) {
-	for _, service := range h.index.Manifest.Services {
-		var list []sched.Server
-		addresses := map[string]string{}
-		for _, e := range roll.Servers(entries, service.Name, h.Settings.FailureDomain) {
-			list = append(list, schedServer(service, e))
-			addresses[e.Name] = e.Address
+// targets are the servers of the groups that this host keeps.
+func (h *Host) targets() []probe.Target {
+	var all []probe.Target
+	for _, name := range h.keeper.Kept() {
+		service, ok := h.governed.index().Service(h.machines.service(name))
+		if ok {
+			all = append(all, probe.Target{
+				Name:    name,
+				Address: h.machines.address(name),
+				Engine:  service.Kind == mfest.KindModel,
+			})
 		}
-		h.solos[service.Name].setServers(list, addresses)
 	}
-	h.listed.Store(true)
+	return all
 }
 
-func schedServer(service mfest.Service, e roll.Entry) sched.Server {
-	state := sched.ServerUp
-	if e.State == roll.StateLeaving {
-		state = sched.ServerLeaving
-	}
-	server := sched.Server{Name: e.Name, State: state, Slots: service.SlotsPerServer}
-	for _, m := range service.Models {
-		server.Models = append(server.Models, m.Name)
+func (h *Host) dial(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
 	}
-	return server
+	return c.Close()
 }
 
+// ask waits for a grant.
 func (h *Host) ask(ctx context.Context, r sched.Request) (relay.Grant, *refuse.Refusal) {
-	return h.solos[r.Service].ask(ctx, r)
+	r.Host = h.Settings.HostName
+	grant, refusal, err := h.keeper.Ask(ctx, r)
+	switch {
+	case refusal != nil:
+		return relay.Grant{}, refuse.New(refuse.Reason(refusal.Reason)).WithRetryAfter(refusal.RetryAfter)
+	case err != nil && errors.Is(err, ctx.Err()):
+		return relay.Grant{}, refuse.New(refuse.ReasonCallerGone).WithRan(refuse.RanNo)
+	case err != nil:
+		return relay.Grant{}, refuse.New(refuse.ReasonNoServer).WithText("no grant: %v", err)
+	}
+	return relay.Grant{ID: r.ID, Server: grant.Server, Address: h.machines.address(grant.Server)}, nil
 }
 
-func (h *Host) progress(service string, p sched.Progress) {
-	h.solos[service].change(func(now clock.Millis, g *sched.Group) { g.Progress(now, p) })
+func (h *Host) progress(_ string, p sched.Progress) {
+	h.keeper.Progress(p)
 }
 
-func (h *Host) done(service string, d sched.Done) {
-	h.solos[service].change(func(now clock.Millis, g *sched.Group) { g.Release(now, d) })
+func (h *Host) done(_ string, d sched.Done) {
+	h.keeper.Done(d)
 }
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -28,13 +27,16 @@
 	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/plat/table"
-	"siskinsaddle/internal/policy/sched"
 	"siskinsaddle/internal/serve/calls"
 	"siskinsaddle/internal/serve/entry"
-	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/serve/probe"
 	"siskinsaddle/internal/serve/relay"
 	"siskinsaddle/internal/serve/wire"
-	"siskinsaddle/internal/share/mfest"
+	"siskinsaddle/internal/share/accept"
+	"siskinsaddle/internal/share/claim"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/keep"
+	"siskinsaddle/internal/share/link"
 )
 
 // Host is one entry host. Set the exported fields before Start.
@@ -47,48 +49,97 @@
 	Count    *count.Set
 	Log      *log.Logger
 
-	pool   *ants.Pool
-	client *wire.Client
-	entry  *entry.Entry
-	index  *mfest.Index
-	solos  map[string]*solo
-	tries  *tries
-	cancel context.CancelFunc
-	// listed tells that the platform's list was read at least once.
-	listed  atomic.Bool
+	pool      *ants.Pool
+	client    *wire.Client
+	machines  *machines
+	governed  *governed
+	tries     *tries
+	link      *link.Node
+	members   *hosts.Node
+	holder    *accept.Holder
+	watch     *accept.Watch
+	collector *accept.Collector
+	keeper    *keep.Node
+	prober    *probe.Prober
+	desk      *claim.Desk
+	calls     *calls.Calls
+	entry     *entry.Entry
+
+	cancel  context.CancelFunc
 	stopped chan struct{}
 }
 
 // poolShare is how many attempts one caller connection may have at once.
 const poolShare = 2
 
-// Start opens the callers' address and begins to serve.
+// Start makes the parts, opens the addresses and begins to serve. It returns
+// before the host is ready: readiness waits for the platform's list and for a
+// manifest that is known to be in force.
 func (h *Host) Start(ctx context.Context) error {
 	pool, err := ants.NewPool(poolShare*h.Settings.Callers.MaxConnections, ants.WithNonblocking(true))
 	if err != nil {
 		return errors.Wrap(err, "pool of attempts")
 	}
 	h.pool = pool
-	h.index = mfest.NewIndex(mfest.Default())
 	h.client = &wire.Client{
 		DialTimeout:     h.Settings.Backend.DialTimeoutMilliseconds,
 		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
 	}
-	h.startSolos()
-	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts, h.index)
+	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts)
+	h.governed = &governed{changed: h.tries.govern}
+	h.machines = &machines{
+		read:   h.List,
+		clock:  h.Clock,
+		period: h.Settings.Platform.ListPeriodMilliseconds,
+		log:    h.Log.WithPrefix("platform"),
+	}
+	h.machines.refresh(ctx)
+	if err := h.startPeers(ctx); err != nil {
+		return err
+	}
+	h.startManifest()
+	h.startGroups()
+	h.desk = h.newDesk()
+	h.calls = h.newCalls()
 	h.entry = h.newEntry()
 	if err := h.entry.Listen(); err != nil {
 		return err
 	}
+	return h.run(ctx)
+}
+
+// run starts the loops of all parts.
+func (h *Host) run(ctx context.Context) error {
 	background, cancel := context.WithCancel(ctx)
 	h.cancel = cancel
+	if err := h.link.Start(background); err != nil {
+		cancel()
+		return errors.Wrap(err, "links")
+	}
+	// The first view was made before the keeper could follow it.
+	h.keeper.ViewChanged(h.members.View())
+	go h.machines.run(background)
+	h.loop(background, "hosts", h.members.Run)
+	h.loop(background, "keeper", h.keeper.Run)
+	h.loop(background, "claims", h.desk.Run)
+	go h.sweepClaims(background)
+	go h.runManifest(background)
+	go h.prober.Run(background)
 	h.stopped = make(chan struct{})
-	go h.readList(background)
 	go h.serve()
 	return nil
 }
 
+// loop runs a part until the context ends and logs any other end.
+func (h *Host) loop(ctx context.Context, name string, run func(context.Context) error) {
+	go func() {
+		if err := run(ctx); err != nil && ctx.Err() == nil {
+			h.Log.WithPrefix(name).Error("Stopped.", "error", err)
+		}
+	}()
+}
+
 func (h *Host) serve() {
 	defer close(h.stopped)
 	if err := h.entry.Serve(); err != nil {
@@ -107,16 +158,22 @@
 }
 
 // Stop ends the host in order: readiness fails, the balancer gets its time,
-// new requests are refused, and those in progress finish. Nothing in progress
-// is cut off unless ctx ends.
+// duties pass to other hosts, new requests are refused, those in progress
+// finish, and the other hosts are told. Nothing in progress is cut off unless
+// ctx ends.
 func (h *Host) Stop(ctx context.Context) error {
 	h.entry.Refuse()
 	select {
 	case <-h.Clock.After(h.Settings.Stop.BalancerMilliseconds):
 	case <-ctx.Done():
 	}
+	h.members.Leave()
 	err := h.entry.Drain(ctx)
 	<-h.stopped
+	h.watch.Leave(ctx)
+	if stopErr := h.members.Stop(ctx); stopErr != nil {
+		h.Log.Warn("Could not remove the registration.", "error", stopErr)
+	}
 	h.cancel()
 	h.pool.Release()
 	return err
@@ -125,10 +182,10 @@
 func (h *Host) newEntry() *entry.Entry {
 	return &entry.Entry{
 		Settings: h.Settings.Callers,
-		View:     func() entry.View { return entry.View{Index: h.index, Generation: 1} },
+		View:     h.view,
 		Relay:    h.newRelay(),
-		Calls:    h.newCalls(),
-		Ready:    h.listed.Load,
+		Calls:    h.calls,
+		Ready:    h.machines.ready,
 		Clock:    h.Clock,
 		Count:    h.Count,
 		Log:      h.Log.WithPrefix("entry"),
@@ -145,7 +202,7 @@
 		HedgeAfter:   h.tries.hedgeAfter,
 		MayHedge:     h.tries.mayHedge,
 		FirstToken:   h.tries.firstToken,
-		Finished:     func(sched.Request) { h.tries.succeeded() },
+		Finished:     h.tries.finished,
 		FirstTimeout: h.Settings.Backend.FirstTimeoutMilliseconds,
 		Clock:        h.Clock,
 		Count:        h.Count,
@@ -166,15 +223,3 @@
 		Count:          h.Count,
 	}
 }
-
-// keyed sends once.
-func (h *Host) keyed(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
-	tried := send(ctx, c.Method, c.Path, 0)
-	if tried.Err == nil {
-		return tried.Answer, nil
-	}
-	if tried.Sent == wire.SentNothing {
-		return calls.Answer{}, refuse.New(refuse.ReasonBackendRefused)
-	}
-	return calls.Answer{}, refuse.New(refuse.ReasonOutcomeUnknown)
-}
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -19,6 +19,8 @@
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/plat/table"
 	"siskinsaddle/internal/serve/hostd"
+	"siskinsaddle/internal/share/accept"
+	"siskinsaddle/internal/share/mfest"
 )
 
 // bed is one host before the embedded stand-ins.
@@ -35,6 +37,7 @@
 	c.Cleanup(b.stand.Stop)
 	s := confs.Default()
 	s.Callers.Address = "127.0.0.1:0"
+	s.Links.Address = "127.0.0.1:0"
 	s.Stop.BalancerMilliseconds = 1
 	s.Callers.SendTimeoutMilliseconds = 300
 	s.Backend.ProgressTimeoutMilliseconds = 300
@@ -48,6 +51,7 @@
 		Log:      logs.Discard(),
 	}
 	c.Assert(b.host.Start(context.Background()), qt.IsNil)
+	b.push(mfest.Default())
 	b.awaits(func() bool {
 		code, _, err := fasthttp.Get(nil, "http://"+b.host.Address()+"/readyz")
 		return err == nil && code == fasthttp.StatusOK
@@ -55,6 +59,18 @@
 	return b
 }
 
+// push brings a manifest into force.
+func (b *bed) push(m mfest.Manifest) {
+	p := &accept.Pusher{
+		Platform:      accept.Platform{Table: b.host.Table, Objects: b.host.Objects, Clock: b.host.Clock},
+		Registrations: b.host.Registrations,
+		Log:           logs.Discard(),
+		By:            "test",
+	}
+	answer := p.Push(context.Background(), m)
+	b.c.Assert(answer.Outcome, qt.Equals, accept.Accepted, qt.Commentf("%+v", answer))
+}
+
 func (b *bed) client() *openai.Client {
 	config := openai.DefaultConfig("demo-key")
 	config.BaseURL = "http://" + b.host.Address() + "/v1"
@@ -88,9 +104,12 @@
 		text.WriteString(part.Choices[0].Delta.Content)
 	}
 	b.c.Assert(text.String(), qt.Equals, whole.Choices[0].Message.Content)
+	alone := b.host.Count.Count("siskinsaddle_keep_events_total", count.Label{Key: "event", Value: "Alone"})
+	b.c.Assert(alone, qt.Equals, int64(0), qt.Commentf("the only host keeps its groups"))
 	b.c.Assert(b.host.Stop(ctx), qt.IsNil)
 }
 
+// A booking that is sent twice under one key runs once and is answered twice.
 func TestBookingRunsOnce(t *testing.T) {
 	b := newBed(t)
 	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -101,6 +120,13 @@
 	request.SetBodyString(`{"Stall": "12"}`)
 	b.c.Assert(fasthttp.Do(request, answer), qt.IsNil)
 	b.c.Assert(answer.StatusCode(), qt.Equals, 200)
+	first := string(answer.Body())
+	b.c.Assert(fasthttp.Do(request, answer), qt.IsNil)
+	b.c.Assert(string(answer.Body()), qt.Equals, first)
+	b.c.Assert(string(answer.Header.Peek("Idempotent-Replayed")), qt.Equals, "true")
 	b.c.Assert(b.stand.Runs("yard-app")["k1"], qt.Equals, 1)
+	request.SetBodyString(`{"Stall": "13"}`)
+	b.c.Assert(fasthttp.Do(request, answer), qt.IsNil)
+	b.c.Assert(answer.StatusCode(), qt.Equals, 422)
 	b.c.Assert(b.host.Stop(context.Background()), qt.IsNil)
 }
--- /dev/null
+++ b/internal/serve/hostd/machines.go
@@ -0,0 +1,111 @@
+package hostd
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/plat/roll"
+)
+
+// machines is the platform's list as last read. While the list cannot be read,
+// the last one stays in force.
+type machines struct {
+	read   roll.List
+	clock  clock.Clock
+	period clock.Millis
+	log    *log.Logger
+
+	mu      sync.Mutex
+	known   bool
+	entries []roll.Entry
+	last    error
+	byName  map[string]roll.Entry
+}
+
+// run reads the list until the context ends.
+func (m *machines) run(ctx context.Context) {
+	for {
+		m.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.clock.After(m.period):
+		}
+	}
+}
+
+func (m *machines) refresh(ctx context.Context) {
+	entries, err := m.read.Read(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if (err == nil) != (m.last == nil) && m.known {
+		m.log.Info("The platform's list changed its state.", "error", err)
+	}
+	m.last = err
+	if err != nil {
+		return
+	}
+	m.known = true
+	m.entries = entries
+	m.byName = make(map[string]roll.Entry, len(entries))
+	for _, e := range entries {
+		m.byName[e.Name] = e
+	}
+}
+
+// list gives other parts the list as last read, so that it is read once.
+func (m *machines) list() roll.List {
+	return roll.List{Read: func(context.Context) ([]roll.Entry, error) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if !m.known && m.last == nil {
+			return nil, errNotRead
+		}
+		return m.entries, m.last
+	}}
+}
+
+var errNotRead = errors.New("the platform's list was not read yet")
+
+func (m *machines) ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
+// servers returns the backend servers of a service in a failure domain.
+func (m *machines) servers(service, domain string) []roll.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return roll.Servers(m.entries, service, domain)
+}
+
+// address returns where a backend server is reached.
+func (m *machines) address(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byName[name].Address
+}
+
+// any returns the address of some live server of a service.
+func (m *machines) any(service string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.entries {
+		if e.Kind == roll.KindBackendServer && e.Service == service && e.State == roll.StateLive {
+			return e.Address, true
+		}
+	}
+	return "", false
+}
+
+// service returns the service of a backend server.
+func (m *machines) service(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byName[name].Service
+}
--- a/internal/serve/hostd/tries.go
+++ b/internal/serve/hostd/tries.go
@@ -27,10 +27,8 @@
 	hedges map[string]*retry.Hedge
 }
 
-func newTries(c clock.Clock, maxAttempts int, x *mfest.Index) *tries {
-	t := &tries{clock: c, maxAttempts: maxAttempts}
-	t.govern(x)
-	return t
+func newTries(c clock.Clock, maxAttempts int) *tries {
+	return &tries{clock: c, maxAttempts: maxAttempts, budget: retry.NewBudget(0, savedRetries)}
 }
 
 // govern puts the manifest's shares in force.
@@ -46,7 +44,7 @@
 	}
 }
 
-func (t *tries) succeeded() {
+func (t *tries) finished(sched.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.budget.Succeeded()
--- a/internal/serve/refuse/refuse.go
+++ b/internal/serve/refuse/refuse.go
@@ -50,6 +50,9 @@
 	ReasonExpired        Reason = "Expired"
 	ReasonNoServer       Reason = "NoServer"
 	ReasonStoreDown      Reason = "StoreDown"
+	ReasonStoreUnsure    Reason = "StoreUnsure"
+	ReasonTooManyClaims  Reason = "TooManyClaims"
+	ReasonAnswerNotKept  Reason = "AnswerNotKept"
 	ReasonInProgress     Reason = "InProgress"
 	ReasonKeyReused      Reason = "KeyReused"
 	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
@@ -66,6 +69,9 @@
 const (
 	RanNo      Ran = "No"
 	RanUnknown Ran = "Unknown"
+	// RanYes: it ran earlier under the same Idempotency-Key, and its answer
+	// cannot be had any more.
+	RanYes Ran = "Yes"
 )
 
 // Refusal is one refusal. A nil *Refusal means that the request goes on.
@@ -104,6 +110,9 @@
 	ReasonExpired:        {503, RanNo, "no backend server was free within the class's longest wait"},
 	ReasonNoServer:       {503, RanNo, "no backend server can take the request"},
 	ReasonStoreDown:      {503, RanNo, "the platform's table service is not available for a request with an Idempotency-Key"},
+	ReasonStoreUnsure:    {503, RanNo, "the platform's table service did not say whether it took the claim of the Idempotency-Key"},
+	ReasonTooManyClaims:  {503, RanNo, "this host has too many unsettled Idempotency-Keys"},
+	ReasonAnswerNotKept:  {502, RanYes, "the request ran, and its answer cannot be read any more"},
 	ReasonInProgress:     {409, RanUnknown, "a request with this Idempotency-Key is in progress"},
 	ReasonKeyReused:      {422, RanNo, "this Idempotency-Key was used with another request"},
 	ReasonOutcomeUnknown: {502, RanUnknown, "the outcome of the request with this Idempotency-Key is unknown"},
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -131,7 +131,7 @@
 	if last.kind == noteFailed {
 		outcome = OutcomeOf(last.cause)
 	}
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil || last.kind == noteRefused {
 		outcome = sched.OutcomeCancelled
 	}
 	a.stream.relay.Done(a.stream.job.Request.Service, sched.Done{Progress: a.progress(), Outcome: outcome})
@@ -140,6 +140,9 @@
 // exchange sends the request and reads the answer to its end.
 func (a *attempt) exchange() note {
 	job := a.stream.job
+	if refusal := job.Allowed(); refusal != nil {
+		return note{kind: noteRefused, refusal: refusal}
+	}
 	answer, sent, err := a.stream.relay.Send(a.ctx, wire.Request{
 		Address:          a.grant.Address,
 		Method:           "POST",
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -56,6 +56,9 @@
 	// Path and Body go to the backend server as they are.
 	Path string
 	Body []byte
+	// Allowed is asked just before each attempt is sent, since the manifest
+	// may have changed while the request waited. A refusal ends the attempt.
+	Allowed func() *refuse.Refusal
 }
 
 // Cause is why an attempt failed.
--- a/internal/share/keep/node.go
+++ b/internal/share/keep/node.go
@@ -145,6 +145,17 @@
 	return count
 }
 
+// Kept names the backend servers of the groups that this host keeps.
+func (n *Node) Kept() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var names []string
+	for _, name := range sortedKeys(n.core.desks) {
+		names = append(names, n.core.desks[name].group.names()...)
+	}
+	return names
+}
+
 // Digest sums up this host's failure domain, to ride on the beats to others.
 func (n *Node) Digest() []byte {
 	n.mu.Lock()
--- a/internal/tools/verbs/serve.go
+++ b/internal/tools/verbs/serve.go
@@ -17,6 +17,8 @@
 	"siskinsaddle/internal/plat/amazon"
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/serve/hostd"
+	"siskinsaddle/internal/share/accept"
+	"siskinsaddle/internal/share/mfest"
 )
 
 func newServe() *cobra.Command {
@@ -64,11 +66,26 @@
 		return err
 	}
 	l.WithPrefix("host").Info("Takes callers.", "address", h.Address(), "failureDomain", s.FailureDomain)
+	if embedded {
+		go pushDefault(ctx, h, l)
+	}
 	<-ctx.Done()
 	l.WithPrefix("host").Info("Stops; requests in progress finish.")
 	return h.Stop(context.Background())
 }
 
+// pushDefault brings the embedded manifest into force.
+func pushDefault(ctx context.Context, h *hostd.Host, l *log.Logger) {
+	p := &accept.Pusher{
+		Platform:      accept.Platform{Table: h.Table, Objects: h.Objects, Clock: h.Clock},
+		Registrations: h.Registrations,
+		Log:           l.WithPrefix("push"),
+		By:            "embedded",
+	}
+	answer := p.Push(ctx, mfest.Default())
+	l.WithPrefix("push").Info("Pushed the embedded manifest.", "outcome", answer.Outcome, "generation", answer.Generation)
+}
+
 // embed points a host's settings to the stand-in of the platform.
 func embed(s confs.Settings, platform string) confs.Settings {
 	s.Platform.TableEndpoint = "http://" + platform
