--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -46,12 +47,15 @@
 	Count    *count.Set
 	Log      *log.Logger
 
-	pool    *ants.Pool
-	client  *wire.Client
-	entry   *entry.Entry
-	index   *mfest.Index
-	solos   map[string]*solo
-	cancel  context.CancelFunc
+	pool   *ants.Pool
+	client *wire.Client
+	entry  *entry.Entry
+	index  *mfest.Index
+	solos  map[string]*solo
+	tries  *tries
+	cancel context.CancelFunc
+	// listed tells that the platform's list was read at least once.
+	listed  atomic.Bool
 	stopped chan struct{}
 }
 
@@ -72,6 +76,7 @@
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
 	}
 	h.startSolos()
+	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts, h.index)
 	h.entry = h.newEntry()
 	if err := h.entry.Listen(); err != nil {
 		return err
@@ -96,6 +101,11 @@
 	return h.entry.Address()
 }
 
+// Open is how many requests are open.
+func (h *Host) Open() int {
+	return h.entry.Open()
+}
+
 // Stop ends the host in order: readiness fails, the balancer gets its time,
 // new requests are refused, and those in progress finish. Nothing in progress
 // is cut off unless ctx ends.
@@ -118,8 +128,7 @@
 		View:     func() entry.View { return entry.View{Index: h.index, Generation: 1} },
 		Relay:    h.newRelay(),
 		Calls:    h.newCalls(),
-		Predict:  func(_, _, _ string, asked int) int { return asked },
-		Ready:    func() bool { return true },
+		Ready:    h.listed.Load,
 		Clock:    h.Clock,
 		Count:    h.Count,
 		Log:      h.Log.WithPrefix("entry"),
@@ -132,10 +141,11 @@
 		Progress:     h.progress,
 		Done:         h.done,
 		Send:         h.client.Do,
-		MayRetry:     h.mayRetry,
-		HedgeAfter:   func(sched.Request) clock.Millis { return 0 },
-		MayHedge:     func(string) bool { return false },
-		Finished:     func(sched.Request, int) {},
+		MayRetry:     h.tries.mayRetry,
+		HedgeAfter:   h.tries.hedgeAfter,
+		MayHedge:     h.tries.mayHedge,
+		FirstToken:   h.tries.firstToken,
+		Finished:     func(sched.Request) { h.tries.succeeded() },
 		FirstTimeout: h.Settings.Backend.FirstTimeoutMilliseconds,
 		Clock:        h.Clock,
 		Count:        h.Count,
@@ -148,7 +158,7 @@
 		Ask:            h.ask,
 		Done:           h.done,
 		Send:           h.client.Do,
-		MayRetry:       h.mayRetry,
+		MayRetry:       h.tries.mayRetry,
 		Keyed:          h.keyed,
 		FirstTimeout:   h.Settings.Backend.FirstTimeoutMilliseconds,
 		MaxAnswerBytes: h.Settings.Backend.MaxAnswerBytes,
@@ -157,13 +167,6 @@
 	}
 }
 
-func (h *Host) mayRetry(f relay.Failure) bool {
-	if f.Attempt >= h.Settings.Backend.MaxAttempts {
-		return false
-	}
-	return f.Delivered > 0 || h.Clock.Now() < f.Deadline
-}
-
 // keyed sends once.
 func (h *Host) keyed(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
 	tried := send(ctx, c.Method, c.Path, 0)
