Several hosts proved on real sockets

Cause: the host's parts had been put together and never run beside another host.

Found: no two hosts could talk. Each accepted connections in the kernel only: the link was started for sending but its accept loop was not run, so every handshake timed out, and the first push to two hosts was refused with 'host-2 do not answer'. Ruled out: wrong address (the view had the right one) and wrong secret (the handshake never began).

Conclusion: the parts work together across hosts.

--- a/internal/serve/hostd/fault_test.go
+++ b/internal/serve/hostd/fault_test.go
@@ -17,6 +17,7 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/fakes/engine"
 	"siskinsaddle/internal/serve/events"
+	"siskinsaddle/internal/serve/hostd"
 	"siskinsaddle/internal/serve/refuse"
 )
 
@@ -24,9 +25,9 @@
 var engines = []string{"canvas-llm-1", "canvas-llm-2"}
 
 // open starts a streamed answer of a length.
-func (b *bed) open(ctx context.Context, tokens int) *http.Response {
+func (b *bed) open(ctx context.Context, h *hostd.Host, tokens int) *http.Response {
 	body := fmt.Sprintf(`{"model":"canvas-small","stream":true,"x_tokens":%d,"prompt":"Which filter fits?"}`, tokens)
-	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+b.host.Address()+"/v1/completions", strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.Address()+"/v1/completions", strings.NewReader(body))
 	b.c.Assert(err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer demo-key")
 	answer, err := http.DefaultClient.Do(request)
@@ -35,10 +36,14 @@
 	return answer
 }
 
-// answer collects a whole streamed answer; after is called once the given
-// number of tokens has come.
+// answer collects a whole streamed answer of the first host; after is called
+// once the given number of tokens has come.
 func (b *bed) answer(tokens, at int, after func()) (string, error) {
-	answer := b.open(context.Background(), tokens)
+	return b.answerOf(b.host, tokens, at, after)
+}
+
+func (b *bed) answerOf(h *hostd.Host, tokens, at int, after func()) (string, error) {
+	answer := b.open(context.Background(), h, tokens)
 	defer func() { _ = answer.Body.Close() }()
 	reader := events.NewReader(answer.Body)
 	var text strings.Builder
@@ -105,7 +110,7 @@
 func TestAbandonedRequestIsCancelled(t *testing.T) {
 	b := newBed(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	answer := b.open(ctx, 100_000)
+	answer := b.open(ctx, b.host, 100_000)
 	defer func() { _ = answer.Body.Close() }()
 	_, err := events.NewReader(answer.Body).Next()
 	b.c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/internal/serve/hostd/fleet_test.go
@@ -0,0 +1,189 @@
+package hostd_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/fakes/cloud"
+	"siskinsaddle/internal/fakes/engine"
+	"siskinsaddle/internal/fakes/plain"
+	"siskinsaddle/internal/plat/roll"
+	"siskinsaddle/internal/serve/hostd"
+	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/share/mfest"
+)
+
+// booked is what a caller of a booking was told.
+type booked struct {
+	status int
+	reason refuse.Reason
+	ran    refuse.Ran
+}
+
+func (b *bed) book(h *hostd.Host, method, key string) booked {
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.SetRequestURI("http://" + h.Address() + "/services/yard-app/bookings")
+	request.Header.SetMethod(method)
+	request.Header.Set("Authorization", "Bearer demo-key")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	request.SetBodyString(`{"Stall": "12"}`)
+	b.c.Assert(fasthttp.Do(request, answer), qt.IsNil)
+	var told struct {
+		Reason refuse.Reason
+		Ran    refuse.Ran
+	}
+	if answer.StatusCode() != fasthttp.StatusOK {
+		b.c.Assert(json.Unmarshal(answer.Body(), &told), qt.IsNil, qt.Commentf("%s", answer.Body()))
+	}
+	return booked{status: answer.StatusCode(), reason: told.Reason, ran: told.Ran}
+}
+
+// truthful checks what callers were told against how often a booking ran.
+func (b *bed) truthful(key string, told ...booked) {
+	runs := b.stand.Runs("yard-app")[key]
+	note := qt.Commentf("%s ran %d times, told %+v", key, runs, told)
+	b.c.Assert(runs <= 1, qt.IsTrue, note)
+	for _, t := range told {
+		if t.status == fasthttp.StatusOK {
+			b.c.Assert(runs, qt.Equals, 1, note)
+		}
+	}
+	last := told[len(told)-1]
+	if last.ran == refuse.RanNo {
+		b.c.Assert(runs, qt.Equals, 0, note)
+	}
+}
+
+// Wherever the connection to the service drops, a booking that two hosts are
+// asked for runs at most once, and nobody is told "not run" of one that ran.
+func TestBookingUnderDrops(t *testing.T) {
+	b := newBed(t, "prairie-a", "prairie-a")
+	points := []plain.DropPoint{
+		plain.DropBeforeRequest, plain.DropDuringRequest, plain.DropAfterRequest,
+		plain.DropDuringResponse, plain.DropAfterResponse,
+	}
+	for _, point := range points {
+		key := "drop-" + string(point)
+		b.stand.Plain("yard-app-1").SetFaults(plain.Faults{DropAt: point, DropCount: 1, ChecksFencing: true})
+		b.truthful(key, b.book(b.host, "POST", key), b.book(b.hosts[1], "POST", key))
+	}
+}
+
+// A keyed booking is refused "not run" while the table is down, and a lost
+// answer of the table leads to no second run.
+func TestBookingUnderPlatformFaults(t *testing.T) {
+	faults := map[string]cloud.Faults{
+		"down":        {Down: true},
+		"throttled":   {Throttle: true},
+		"lost answer": {LoseAnswersAfterWrite: 1},
+		"lost write":  {LoseRequestsBeforeWrite: 1},
+	}
+	b := newBed(t, "prairie-a", "prairie-a")
+	for name, f := range faults {
+		b.c.Run(name, func(*qt.C) {
+			key := strings.ReplaceAll(name, " ", "-")
+			b.stand.Platform().SetFaults(f)
+			first := b.book(b.host, "POST", key)
+			b.stand.Platform().SetFaults(cloud.Faults{})
+			b.truthful(key, first, b.book(b.hosts[1], "POST", key))
+		})
+	}
+	b.stand.Platform().SetFaults(cloud.Faults{Down: true})
+	told := b.book(b.host, "POST", "down-2")
+	b.c.Assert(told.status, qt.Equals, fasthttp.StatusServiceUnavailable)
+	b.c.Assert(told.ran, qt.Equals, refuse.RanNo)
+	b.truthful("down-2", told)
+	// A booking without a key needs no table.
+	b.c.Assert(b.book(b.host, "POST", "").status, qt.Equals, fasthttp.StatusOK)
+	_, err := b.answer(5, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+}
+
+// A server that is leaving gets no new work, also when the list cannot be
+// read, and the list alone is enough as well.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	ways := map[string]func(b *bed){
+		"own word, list down": func(b *bed) {
+			b.stand.Platform().SetFaults(cloud.Faults{HostsDown: true, Down: true})
+			b.stand.Engine(engines[0]).SetFaults(engine.Faults{Leaving: true})
+		},
+		"list": func(b *bed) {
+			for _, e := range b.stand.Platform().Entries() {
+				if e.Name == engines[0] {
+					e.State = roll.StateLeaving
+					b.stand.Platform().SetEntry(e)
+				}
+			}
+		},
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, "prairie-a", "prairie-a")
+			leave(b)
+			b.awaits(func() bool {
+				before := b.stand.Engine(engines[0]).Counts().Requests
+				for range 6 {
+					_, err := b.answer(2, -1, nil)
+					b.c.Assert(err, qt.IsNil)
+				}
+				return b.stand.Engine(engines[0]).Counts().Requests == before
+			})
+			b.c.Assert(b.stand.Engine(engines[1]).Counts().Requests > 0, qt.IsTrue)
+		})
+	}
+}
+
+// A host that is lost with its keeper duties takes no request of the others
+// with it.
+func TestLostHostMidBurst(t *testing.T) {
+	b := newBed(t, "prairie-a", "prairie-a", "prairie-a")
+	var work sync.WaitGroup
+	failed := make(chan error, 60)
+	for i := range 60 {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			_, err := b.answerOf(b.hosts[i%2], 20, -1, nil)
+			if err != nil {
+				failed <- err
+			}
+		}()
+		if i == 30 {
+			b.kills[2]()
+		}
+	}
+	work.Wait()
+	close(failed)
+	for err := range failed {
+		b.c.Error(err)
+	}
+}
+
+// A manifest comes into force on every host of every failure domain, and a
+// key that it no longer has is refused from then on.
+func TestManifestReachesEveryDomain(t *testing.T) {
+	domains := []string{"prairie-a", "prairie-b", "prairie-b"}
+	b := newBed(t, domains...)
+	next := withDomains(mfest.Default(), domains)
+	next.Base = 1
+	next.Workspaces = slices.DeleteFunc(slices.Clone(next.Workspaces), func(w mfest.Workspace) bool {
+		return w.Name == "kestrel"
+	})
+	b.push(next)
+	for _, h := range b.hosts {
+		b.awaits(func() bool {
+			code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/metrics")
+			return err == nil && code == 200 && h.Count.Gauge("siskinsaddle_manifest_generation") == 2
+		})
+		b.c.Assert(b.book(h, "POST", fmt.Sprint(h.Address())).reason, qt.Equals, refuse.ReasonWrongKey)
+	}
+}
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -117,6 +117,7 @@
 		cancel()
 		return errors.Wrap(err, "links")
 	}
+	h.loop(background, "link", h.link.Run)
 	// The first view was made before the keeper could follow it.
 	h.keeper.ViewChanged(h.members.View())
 	go h.machines.run(background)
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -15,48 +17,99 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/fakes/stand"
-	"siskinsaddle/internal/plat/object"
+	"siskinsaddle/internal/plat/amazon"
 	"siskinsaddle/internal/plat/roll"
-	"siskinsaddle/internal/plat/table"
 	"siskinsaddle/internal/serve/hostd"
 	"siskinsaddle/internal/share/accept"
 	"siskinsaddle/internal/share/mfest"
 )
 
-// bed is one host before the embedded stand-ins.
+// bed is hosts before the embedded stand-ins.
 type bed struct {
 	c     *qt.C
 	stand *stand.Stand
+	// host is the first of hosts.
 	host  *hostd.Host
+	hosts []*hostd.Host
+	// kills end the hosts' own loops and links without a word to the others.
+	kills []context.CancelFunc
 }
 
-func newBed(t *testing.T) *bed {
+// newBed starts one host in each named failure domain, prairie-a by default,
+// and brings a manifest with those domains into force.
+func newBed(t *testing.T, domains ...string) *bed {
 	c := qt.New(t)
 	b := &bed{c: c, stand: &stand.Stand{Settings: stand.Embedded()}}
 	c.Assert(b.stand.Start(), qt.IsNil)
 	c.Cleanup(b.stand.Stop)
+	if len(domains) == 0 {
+		domains = []string{"prairie-a"}
+	}
+	for i, domain := range domains {
+		b.start(fmt.Sprintf("host-%d", i+1), domain)
+	}
+	b.host = b.hosts[0]
+	b.push(withDomains(mfest.Default(), domains))
+	for _, h := range b.hosts {
+		b.awaitReady(h)
+	}
+	return b
+}
+
+func (b *bed) start(name, domain string) {
+	platform := b.stand.Platform().Address()
 	s := confs.Default()
+	s.HostName = name
+	s.FailureDomain = domain
 	s.Callers.Address = "127.0.0.1:0"
 	s.Links.Address = "127.0.0.1:0"
 	s.Stop.BalancerMilliseconds = 1
 	s.Callers.SendTimeoutMilliseconds = 300
 	s.Backend.ProgressTimeoutMilliseconds = 300
-	b.host = &hostd.Host{
+	s.Platform.ListPeriodMilliseconds = 200
+	a := amazon.Settings{
+		TableEndpoint:  "http://" + platform,
+		ObjectEndpoint: "http://" + platform,
+		Region:         "local",
+		AccessKey:      "key",
+		SecretKey:      "secret",
+		Table:          "siskinsaddle",
+		Bucket:         "siskinsaddle",
+		DialTimeout:    clock.Second,
+		Timeout:        clock.Second,
+	}
+	h := &hostd.Host{
 		Settings: s,
-		List:     roll.NewHTTP(b.stand.Platform().Address(), clock.Second),
-		Table:    table.NewMemory(),
-		Objects:  object.NewMemory(),
+		List:     roll.NewHTTP(platform, clock.Second),
+		Table:    amazon.NewTable(a),
+		Objects:  amazon.NewObjects(a),
 		Clock:    clock.System(),
 		Count:    count.NewSet(),
 		Log:      logs.Discard(),
 	}
-	c.Assert(b.host.Start(context.Background()), qt.IsNil)
-	b.push(mfest.Default())
+	ctx, kill := context.WithCancel(context.Background())
+	b.c.Cleanup(kill)
+	b.c.Assert(h.Start(ctx), qt.IsNil)
+	b.hosts = append(b.hosts, h)
+	b.kills = append(b.kills, kill)
+}
+
+func (b *bed) awaitReady(h *hostd.Host) {
 	b.awaits(func() bool {
-		code, _, err := fasthttp.Get(nil, "http://"+b.host.Address()+"/readyz")
+		code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/readyz")
 		return err == nil && code == fasthttp.StatusOK
 	})
-	return b
+}
+
+func withDomains(m mfest.Manifest, domains []string) mfest.Manifest {
+	m.FailureDomains = nil
+	for _, name := range domains {
+		d := mfest.FailureDomain{Name: name, Region: "prairie"}
+		if !slices.Contains(m.FailureDomains, d) {
+			m.FailureDomains = append(m.FailureDomains, d)
+		}
+	}
+	return m
 }
 
 // push brings a manifest into force.
