Benchmark runs the keeper protocol of production in virtual time

Cause: hosts and keepers of the benchmark were a second version of the protocol, so that its messages and timings were not those of production. keep.Machine is the pure part of keep.Node; the auditor is told the servers as the group was.

--- a/internal/share/keep/decider.go
+++ b/internal/share/keep/decider.go
@@ -26,6 +26,7 @@
 func (d *decider) after(now clock.Millis) {
 	decisions := d.inner.Take(now)
 	if d.audit != nil {
+		d.audit.SetServers(now, d.inner.Servers())
 		d.audit.Decided(now, decisions)
 	}
 	d.taken = append(d.taken, decisions...)
@@ -43,14 +44,12 @@
 }
 
 func (d *decider) setServers(now clock.Millis, list []sched.Server) {
-	if d.audit != nil {
-		d.audit.SetServers(now, list)
-	}
 	d.inner.SetServers(now, list)
 	d.after(now)
 }
 
 func (d *decider) offer(now clock.Millis, r sched.Request) {
+	r = d.inner.Predict(r)
 	if d.audit != nil {
 		d.audit.Offer(now, r)
 	}
--- a/internal/tools/bench/bench.go
+++ b/internal/tools/bench/bench.go
@@ -2,14 +2,16 @@
 //
 // A scenario file names a deployment file, the demand over time and the faults
 // that happen. From these and a seed the benchmark draws requests, and gives
-// the same requests to each policy. Requests arrive at entry hosts; hosts ask
-// a keeper, which runs the sched.Group of production; granted requests go to
-// model engines, which are batch.Batch models. Messages take fixed delays.
+// the same requests to each policy. Requests arrive at entry hosts; each host
+// runs the keep.Machine of production, which asks keepers and keeps groups;
+// granted requests go to model engines, which are batch.Batch models. Messages
+// take fixed delays, and are counted as they would be encoded on the link.
 // Nothing else of a network or a host is modelled: no bandwidth, no processor
 // time, no loss other than the declared cuts.
 //
 // Keepers learn only what they would learn in production: asks and ends as
-// they arrive, progress bundled each 200 ms.
+// they arrive, progress as hosts bundle it, and by probes. A crashed server
+// refuses connections; a cut is noticed after a second of silence.
 //
 // The policies are Naive (round robin, one FIFO for each server, one blind
 // retry), Knowing (an all-knowing order, to see what could be reached), Alone (each host decides alone on a share of the slots), Server (one
--- a/internal/tools/bench/fault.go
+++ b/internal/tools/bench/fault.go
@@ -1,6 +1,10 @@
 package bench
 
-import "slices"
+import (
+	"slices"
+
+	"siskinsaddle/internal/policy/sched"
+)
 
 // faultStarts are what each kind of fault does at its start. Each returns what
 // is to be done at its end.
@@ -69,7 +73,10 @@
 	w.cutOff[at] = true
 	w.loseAcross()
 	w.onCut()
-	return func() { w.cutOff[at] = false }
+	return func() {
+		w.cutOff[at] = false
+		w.onCut()
+	}
 }
 
 // loseAcross breaks the connections that cross the cut: the host notices after
@@ -83,7 +90,7 @@
 			a.lost = true
 			w.after(silentTimeout, func() {
 				a.server.cancel(a)
-				a.fail()
+				a.fail(sched.OutcomeSilent)
 			})
 		}
 	}
--- a/internal/tools/bench/figures.go
+++ b/internal/tools/bench/figures.go
@@ -37,7 +37,7 @@
 	Series []Sample
 }
 
-// AuditFigures count the findings of one rule. Each keeper's audit stops after
+// AuditFigures count the findings of one rule. Each group's audit stops after
 // a hundred findings.
 type AuditFigures struct {
 	Rule  audit.Rule
@@ -231,8 +231,8 @@
 
 func (w *world) auditFigures() []AuditFigures {
 	var all []AuditFigures
-	for _, k := range w.keepers {
-		for _, f := range k.audit.Findings() {
+	for _, one := range w.audits {
+		for _, f := range one.Findings() {
 			at := slices.IndexFunc(all, func(a AuditFigures) bool { return a.Rule == f.Rule })
 			if at < 0 {
 				all = append(all, AuditFigures{Rule: f.Rule, First: f.String()})
--- a/internal/tools/bench/kept.go
+++ b/internal/tools/bench/kept.go
@@ -1,187 +1,254 @@
 package bench
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/audit"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/sched"
-	"siskinsaddle/internal/policy/spill"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/keep"
+	"siskinsaddle/internal/share/link"
 )
 
 const (
-	// retryShare and retryMost bound retries, hedgeShare and hedgeMost hedges:
-	// as a share of successes, and as how many may be saved up.
-	retryShare = 0.1
-	retryMost  = 100
-	hedgeShare = 0.02
-	hedgeMost  = 10
-	// spillReserve is the share of its slots that another domain must have free.
-	spillReserve = 0.25
-	// spillTimeout is how long a host waits for another domain's answer.
-	spillTimeout = 300 * clock.Millis(1)
+	// retryShare and savedRetries bound restarts, hedgeShare and savedHedges
+	// hedges: as a share of successes, and as how many may be saved up.
+	retryShare   = 0.1
+	savedRetries = 100
+	hedgeShare   = 0.02
+	savedHedges  = 20
+	// maxAttempts bounds how often a request is sent.
+	maxAttempts = 3
+	// beatPeriod is how often a host tells other failure domains of its own.
+	beatPeriod = 200 * clock.Millis(1)
+	// beatsAbroad is how many hosts of each other domain it tells.
+	beatsAbroad = 2
+	// frameBytes is what the link adds to each message.
+	frameBytes = 16
 )
 
-// kept is the policies that decide through keepers.
+// kept is the policies that decide with the code of production: each host runs
+// a keep.Machine, which asks keepers and keeps groups.
 type kept struct {
-	world   *world
-	keepers []*keeper
-	hosts   map[hostPlace]*keptHost
-	order   []*keptHost
+	world  *world
+	hosts  []*keptHost
+	byName map[string]*keptHost
+	view   uint64
+	probes *probes
 }
 
-// keptHost is an entry host with its own parts of the policy.
+// keptHost is an entry host.
 type keptHost struct {
-	place hostPlace
-	// choices are the keepers of its own domain that it may ask.
-	choices []*keeper
-	spill   *spill.Policy
+	place   hostPlace
+	name    string
+	machine *keep.Machine
 	retries *retry.Budget
 	hedge   *retry.Hedge
-	turn    int
 }
 
-func newKept(w *world) *kept {
-	k := &kept{world: w, hosts: map[hostPlace]*keptHost{}}
+// newKept makes the hosts. Groups have groupSize servers at the most; with 0
+// every host decides alone on its share.
+func newKept(w *world, groupSize int) router {
+	k := &kept{world: w, byName: map[string]*keptHost{}, probes: newProbes(w)}
+	random := rand.New(rand.NewPCG(uint64(w.scenario.Seed), 1))
+	settings := schedSettings(w.deployment)
 	for _, place := range w.hostPlaces() {
 		h := &keptHost{
 			place:   place,
-			spill:   spill.New(spill.Settings{Reserve: spillReserve, OutShare: w.deployment.SpillShare}),
-			retries: retry.NewBudget(retryShare, retryMost),
-			hedge:   retry.NewHedge(hedgeShare, hedgeMost),
+			name:    w.hostName(place),
+			retries: retry.NewBudget(retryShare, savedRetries),
+			hedge:   retry.NewHedge(hedgeShare, savedHedges),
 		}
-		k.hosts[place] = h
-		k.order = append(k.order, h)
+		h.machine = keep.NewMachine(keep.MachineSettings{
+			Name:          h.name,
+			FailureDomain: w.domains[place.domain].Name,
+			GroupSize:     groupSize,
+			Services:      func() []string { return []string{service} },
+			Servers:       func(_, domain string) []sched.Server { return k.servers(domain) },
+			Settings:      func(string) (sched.Settings, uint64) { return settings, 1 },
+			Random:        random.IntN,
+			Watch:         w.watch,
+		})
+		k.hosts = append(k.hosts, h)
+		k.byName[h.name] = h
 	}
-	return k
+	k.start()
+	return router{arrive: k.arrive, report: k.report, failed: k.failed, first: k.first, done: k.done}
 }
 
-func (k *kept) router() router {
-	return router{arrive: k.arrive, decided: k.decided, failed: k.failed, first: k.first, done: k.done}
+// watch returns an auditor that the figures look at.
+func (w *world) watch(s sched.Settings) *audit.Auditor {
+	a := audit.New(s)
+	w.audits = append(w.audits, a)
+	return a
 }
 
-// start plans ticks, reports and digests, and what follows a cut.
-func (k *kept) start() {
-	for _, one := range k.keepers {
-		k.world.every(0, tickPeriod, one.tick)
-		k.world.every(0, reportPeriod, func() { k.digestFrom(one) })
+func schedSettings(d Deployment) sched.Settings {
+	s := sched.Settings{
+		LongTokens: d.LongTokens,
+		LongShare:  d.LongShare,
+		SpillShare: d.SpillShare,
+		Headroom:   sched.Headroom{Slots: d.HeadroomSlots, Tier: d.HeadroomTier},
 	}
-	for i, h := range k.order {
-		offset := clock.Millis(i) * reportPeriod / clock.Millis(len(k.order))
-		k.world.every(offset, reportPeriod, func() { k.reportFrom(h) })
+	for _, c := range d.Classes {
+		s.Classes = append(s.Classes, sched.Class{
+			Name:                c.Name,
+			Tier:                c.Tier,
+			FirstTokenTarget:    c.FirstTokenMilliseconds,
+			BetweenTokensTarget: c.BetweenTokensMilliseconds,
+			FloorPeriod:         c.FloorPeriodMilliseconds,
+			MaxWaiting:          c.MaxWaiting,
+		})
 	}
-	k.world.keepers = k.keepers
-	k.world.onCut = k.dropUnreachable
+	for _, p := range d.Workspaces {
+		s.Workspaces = append(s.Workspaces, sched.Workspace{Name: p.Name, Weight: p.Weight})
+	}
+	return s
 }
 
-func (k *kept) host(r *request) *keptHost { return k.hosts[r.hostPlace()] }
-
-// arrive asks the own domain's keeper, or another domain's where the own one
-// would let the request wait past its target.
-func (k *kept) arrive(r *request) {
-	h := k.host(r)
-	if to := k.spillTo(h, r); to != nil {
-		k.askElsewhere(h, r, to)
-		return
+// servers lists a failure domain's servers as the probes know them.
+func (k *kept) servers(domain string) []sched.Server {
+	var all []sched.Server
+	for _, s := range k.world.servers {
+		if k.world.domains[s.domain].Name == domain {
+			all = append(all, sched.Server{Name: s.name, State: k.probes.state(s), Slots: k.world.deployment.SlotsPerServer})
+		}
 	}
-	k.world.newAsk(r, h.choose(), askFirst, nil).send()
+	return all
 }
 
-func (k *kept) spillTo(h *keptHost, r *request) *keeper {
-	local, slots := sched.Digest{}, 0
-	for _, one := range h.choices {
-		local = addDigests(local, one.digest)
-		slots += one.slots * len(one.servers)
+// start plans ticks and beats, and what follows a cut.
+func (k *kept) start() {
+	k.follow()
+	for i, h := range k.hosts {
+		stagger := clock.Millis(i) * keep.TickEvery / clock.Millis(len(k.hosts))
+		k.world.every(stagger, keep.TickEvery, func() {
+			k.step(h, func(now clock.Millis) { h.machine.Tick(now) })
+		})
+		k.world.every(stagger, beatPeriod, func() { k.beat(h) })
 	}
-	probe := &ask{request: r, kind: askFirst}
-	name := h.spill.Choose(k.world.now, spill.Ask{Request: probe.form(), Local: local, Slots: slots})
-	for _, one := range k.keepers {
-		if name != "" && k.world.domains[one.place.domain].Name == name {
-			return one
+	k.world.onCut = func() { k.world.after(silentTimeout, k.follow) }
+}
+
+// follow gives each host a view of the hosts that it can reach.
+func (k *kept) follow() {
+	k.view++
+	for _, h := range k.hosts {
+		var seen []hosts.Host
+		for _, other := range k.hosts {
+			if !k.world.cut(h.place.domain, other.place.domain) {
+				domain := k.world.domains[other.place.domain].Name
+				seen = append(seen, hosts.Host{Name: other.name, FailureDomain: domain, Incarnation: 1, State: hosts.StateAlive})
+			}
 		}
+		v := hosts.NewView(k.view, seen...)
+		k.step(h, func(now clock.Millis) { h.machine.ViewChanged(now, v) })
 	}
-	return nil
 }
 
-func addDigests(a, b sched.Digest) sched.Digest {
-	return sched.Digest{
-		FreeSlots:    a.FreeSlots + b.FreeSlots,
-		Waiting:      a.Waiting + b.Waiting,
-		Running:      a.Running + b.Running,
-		WaitEstimate: max(a.WaitEstimate, b.WaitEstimate),
+// step gives a host's machine something and carries out what follows.
+func (k *kept) step(h *keptHost, do func(now clock.Millis)) {
+	do(k.world.now)
+	packets, err := h.machine.Packets(k.world.now)
+	if err != nil {
+		panic(err) // the machine's own types can be encoded
+	}
+	for _, p := range packets {
+		k.send(h, k.byName[p.To], p.Body)
+	}
+	for _, d := range h.machine.Decisions() {
+		k.decided(h, k.world.asks[d.ID], d)
 	}
 }
 
-// askElsewhere asks another domain once; without an answer in time the own one.
-func (k *kept) askElsewhere(h *keptHost, r *request, to *keeper) {
-	h.spill.Sent(k.domainOf(to))
-	a := k.world.newAsk(r, to, askSpill, nil)
-	a.send()
-	k.world.after(spillTimeout, func() {
-		if !a.closed && a.attempt == nil {
-			a.withdraw()
-			k.spillRefused(h, a)
-		}
+// send delivers a packet after the delay between the hosts.
+func (k *kept) send(from, to *keptHost, body []byte) {
+	k.world.traffic.Messages++
+	k.world.traffic.Bytes += len(body) + frameBytes
+	if k.world.cut(from.place.domain, to.place.domain) {
+		return
+	}
+	k.world.after(k.world.delay(from.place.domain, to.place.domain), func() {
+		k.step(to, func(now clock.Millis) {
+			if err := to.machine.Receive(now, from.name, body); err != nil {
+				panic(err) // the body was encoded above
+			}
+		})
 	})
 }
 
-func (k *kept) spillRefused(h *keptHost, a *ask) {
-	a.closed = true
-	h.spill.Refused(k.world.now, k.domainOf(a.keeper))
-	k.world.newAsk(a.request, h.choose(), askFirst, nil).send()
+// beat tells other failure domains how much room the own one has. It rides on
+// heartbeats, so that it adds bytes and no messages.
+func (k *kept) beat(from *keptHost) {
+	sum := from.machine.Sum(k.world.now)
+	body, err := link.Encode(sum)
+	if err != nil {
+		panic(err) // the sum is plain data
+	}
+	own := k.world.domains[from.place.domain].Name
+	for _, to := range k.hosts {
+		apart := to.place.domain - from.place.domain
+		turn := (to.place.host - from.place.host + len(k.hosts)) % k.world.domains[to.place.domain].Hosts
+		if apart == 0 || turn >= beatsAbroad || k.world.cut(from.place.domain, to.place.domain) {
+			continue
+		}
+		k.world.traffic.Bytes += len(body)
+		k.world.after(k.world.delay(from.place.domain, to.place.domain), func() {
+			to.machine.Learn(k.world.now, own, sum)
+		})
+	}
 }
 
-func (k *kept) domainOf(one *keeper) string { return k.world.domains[one.place.domain].Name }
+func (k *kept) host(r *request) *keptHost { return k.byName[k.world.hostName(r.hostPlace())] }
 
-// choose takes the better of two keepers by their digests, which lag.
-func (h *keptHost) choose() *keeper {
-	h.turn++
-	a := h.choices[(h.turn*7919)%len(h.choices)]
-	b := h.choices[(h.turn*104729+1)%len(h.choices)]
-	if digestLoad(b.digest) < digestLoad(a.digest) {
-		return b
-	}
+func (k *kept) arrive(r *request) { k.ask(r, askFirst, nil) }
+
+func (k *kept) ask(r *request, kind askKind, avoid []string) *ask {
+	h := k.host(r)
+	a := k.world.newAsk(r, kind, avoid)
+	k.step(h, func(now clock.Millis) { h.machine.Ask(now, a.form()) })
 	return a
 }
 
-func digestLoad(d sched.Digest) int { return d.Waiting - d.FreeSlots }
-
-// decided takes a decision that has reached the host.
-func (k *kept) decided(a *ask, d sched.Decision) {
+// end gives a grant back.
+func (k *kept) end(a *ask, p sched.Progress, how sched.Outcome) {
+	a.closed = true
 	h := k.host(a.request)
-	if d.Kind == sched.DecisionRefuse {
-		k.refused(h, a, d)
-		return
-	}
-	s := a.keeper.server(d.Server)
-	if a.closed || a.request.ended != "" || (a.kind == askHedge && a.request.got > 0) {
-		a.release(sched.Progress{}, sched.OutcomeCancelled, "")
-		return
-	}
-	a.attempt = a.request.send(s, a.request.class.Tier, true)
-	a.attempt.ask = a
-	k.planHedge(h, a)
+	p.ID = a.id
+	k.step(h, func(now clock.Millis) { h.machine.Done(now, sched.Done{Progress: p, Outcome: how}) })
 }
 
-func (k *kept) refused(h *keptHost, a *ask, d sched.Decision) {
+func (k *kept) decided(h *keptHost, a *ask, d keep.Decision) {
+	r := a.request
 	switch {
-	case a.closed || a.request.ended != "":
-	case a.kind == askSpill:
-		k.spillRefused(h, a)
-	case a.kind == askHedge:
+	case d.Refusal != nil && a.kind == askHedge:
 		a.closed = true
-	case a.request.got > 0:
-		a.request.end(endingBroken, d.Reason)
+	case d.Refusal != nil:
+		r.end(refusedOrBroken(r), d.Refusal.Reason)
+	case a.closed || r.ended != "" || (a.kind == askHedge && r.got > 0):
+		k.end(a, sched.Progress{FirstToken: -1}, sched.OutcomeCancelled)
 	default:
-		a.request.end(endingRefused, d.Reason)
+		a.attempt = r.send(k.world.server(d.Grant.Server), r.class.Tier, true)
+		a.attempt.ask = a
+		k.planHedge(h, a)
 	}
 }
 
+func refusedOrBroken(r *request) ending {
+	if r.got > 0 {
+		return endingBroken
+	}
+	return endingRefused
+}
+
 // planHedge sends a second attempt where the first token is late.
 func (k *kept) planHedge(h *keptHost, a *ask) {
 	r, first := a.request, a.attempt
 	delay := h.hedge.Delay(r.class.Name, "")
-	if delay == 0 || a.kind == askHedge {
+	if delay == 0 || a.kind == askHedge || r.got > 0 {
 		return
 	}
 	k.world.after(delay, func() {
@@ -189,98 +256,56 @@
 		if first.over || !h.hedge.Start(k.world.now, first.sent, r.giveUp(), r.class.Name, "", facts) {
 			return
 		}
-		r.hedge = k.world.newAsk(r, h.choose(), askHedge, []string{first.server.name})
-		r.hedge.send()
+		r.hedge = k.ask(r, askHedge, []string{first.server.name})
 	})
 }
 
+// report notes an attempt's progress at its host.
+func (k *kept) report(a *attempt) {
+	p := a.progress()
+	p.ID = a.ask.id
+	k.host(a.request).machine.Progress(p)
+}
+
 // first takes an attempt's first token: other attempts of the request are
 // cancelled.
 func (k *kept) first(a *attempt) {
-	r := a.request
+	r, h := a.request, k.host(a.request)
 	if a.offset == 0 {
-		k.host(r).hedge.FirstToken(r.class.Name, "", a.first)
+		h.hedge.FirstToken(r.class.Name, "", a.first)
 	}
 	if r.hedge != nil && r.hedge.attempt == nil && !r.hedge.closed {
-		r.hedge.withdraw()
+		r.hedge.closed = true
+		k.step(h, func(now clock.Millis) { h.machine.Cancel(now, r.hedge.id) })
 	}
 	for _, other := range r.attempts {
 		if other != a && !other.over {
 			other.cancel()
-			other.ask.release(sched.Progress{FirstToken: -1}, sched.OutcomeCancelled, other.server.name)
+			k.end(other.ask, sched.Progress{FirstToken: -1}, sched.OutcomeCancelled)
 		}
 	}
 }
 
 func (k *kept) done(a *attempt) {
-	h := k.host(a.request)
-	h.retries.Succeeded()
-	a.ask.release(a.progress(), sched.OutcomeDone, a.server.name)
-	k.spillEnded(h, a)
+	k.host(a.request).retries.Succeeded()
+	k.end(a.ask, a.progress(), sched.OutcomeDone)
 }
 
-func (k *kept) spillEnded(h *keptHost, a *attempt) {
-	if a.ask.kind == askSpill {
-		h.spill.Ended(k.domainOf(a.ask.keeper))
-	}
-}
-
-// failed frees the slot and asks again: a stream goes on elsewhere.
-func (k *kept) failed(a *attempt) {
+// failed frees the slot and asks again: a stream goes on elsewhere. Only a
+// restart is paid from the budget, since a stream that goes on puts no work on
+// the servers twice.
+func (k *kept) failed(a *attempt, how sched.Outcome) {
 	r, h := a.request, k.host(a.request)
-	a.ask.release(a.progress(), sched.OutcomeFailed, a.server.name)
-	k.spillEnded(h, a)
+	k.end(a.ask, a.progress(), how)
 	if slices.ContainsFunc(r.attempts, func(other *attempt) bool { return !other.over }) {
 		return
 	}
 	rule := retry.Decide(retry.Facts{MayRepeat: true, Sent: retry.SentWhole, Reached: r.got > 0, Resumable: true})
 	inTime := r.got > 0 || retry.InTime(k.world.now, 0, r.giveUp())
-	if !rule.Action.Sends() || !inTime || !h.retries.Take() {
-		r.end(endingBroken, "Failed")
+	free := r.got > 0 || how == sched.OutcomeUnreachable
+	if len(r.attempts) >= maxAttempts || !rule.Action.Sends() || !inTime || (!free && !h.retries.Take()) {
+		r.end(refusedOrBroken(r), "Failed")
 		return
 	}
-	k.world.newAsk(r, h.choose(), askRetry, []string{a.server.name}).send()
-}
-
-// reportFrom sends a host's bundles of progress, one to each keeper.
-func (k *kept) reportFrom(h *keptHost) {
-	for _, to := range k.keepers {
-		var list []sched.Progress
-		for _, a := range k.world.openAttempts(h.place) {
-			if a.ask.keeper == to {
-				list = append(list, a.progress())
-			}
-		}
-		if len(list) > 0 {
-			k.world.send(h.place, to.place, list, func() { to.report(list) })
-		}
-	}
-}
-
-// digestFrom sends a keeper's digest to the hosts that choose by it: those of
-// the own domain and, for spilling, those of other domains.
-func (k *kept) digestFrom(from *keeper) {
-	d := from.decider.Digest(k.world.now)
-	for _, h := range k.order {
-		if h.place.domain != from.place.domain {
-			name, slots := k.domainOf(from), from.slots*len(from.servers)
-			k.world.send(from.place, h.place, d, func() { h.spill.Heard(k.world.now, name, d, slots) })
-		} else if slices.Contains(h.choices, from) {
-			k.world.count(from.place, h.place, d)
-		}
-	}
-	k.world.after(k.world.deployment.Network.InDomainMilliseconds, func() { from.digest = d })
-}
-
-// dropUnreachable lets keepers forget hosts that a cut has separated.
-func (k *kept) dropUnreachable() {
-	k.world.after(silentTimeout, func() {
-		for _, one := range k.keepers {
-			for _, h := range k.order {
-				if k.world.cut(one.place.domain, h.place.domain) {
-					one.dropHost(h.place)
-				}
-			}
-		}
-	})
+	k.ask(r, askRetry, []string{a.server.name})
 }
--- a/internal/tools/bench/knowing.go
+++ b/internal/tools/bench/knowing.go
@@ -10,6 +10,9 @@
 // knowingReason is why the all-knowing order refuses a request.
 const knowingReason sched.Reason = "Late"
 
+// knowingPeriod is how often it looks for requests that have become late.
+const knowingPeriod = 10 * clock.Millis(1)
+
 // knowing is an order that knows all lengths, sees all servers at once and
 // decides without messages. Of the requests that can still meet their targets
 // it takes those with the least work first, whatever their tier, and refuses
@@ -26,13 +29,14 @@
 	for _, s := range w.servers {
 		k.free[s] = w.deployment.SlotsPerServer
 	}
-	w.every(0, tickPeriod, k.dispatch)
+	w.every(0, knowingPeriod, k.dispatch)
 	return router{
 		arrive: func(r *request) {
 			k.waiting = append(k.waiting, r)
 			k.dispatch()
 		},
 		first:  func(*attempt) {},
+		report: func(*attempt) {},
 		failed: k.failed,
 		done:   k.release,
 	}
@@ -43,7 +47,7 @@
 	k.dispatch()
 }
 
-func (k *knowing) failed(a *attempt) {
+func (k *knowing) failed(a *attempt, _ sched.Outcome) {
 	if a.request.got > 0 {
 		a.request.end(endingBroken, "Failed")
 	} else {
--- a/internal/tools/bench/naive.go
+++ b/internal/tools/bench/naive.go
@@ -27,7 +27,7 @@
 func newNaive(w *world) router {
 	n := &naive{world: w, turns: map[hostPlace]int{}}
 	ignore := func(*attempt) {}
-	return router{arrive: n.send, first: ignore, failed: n.failed, done: ignore}
+	return router{arrive: n.send, first: ignore, report: ignore, failed: n.failed, done: ignore}
 }
 
 func (n *naive) send(r *request) {
@@ -43,7 +43,7 @@
 	})
 }
 
-func (n *naive) failed(a *attempt) { n.again(a.request, "Failed") }
+func (n *naive) failed(a *attempt, _ sched.Outcome) { n.again(a.request, "Failed") }
 
 func (n *naive) again(r *request, why sched.Reason) {
 	switch {
--- a/internal/tools/bench/policies.go
+++ b/internal/tools/bench/policies.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
-	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/share/keep"
 )
 
 // PolicyName names a policy that the benchmark measures.
@@ -52,66 +50,11 @@
 	return fmt.Sprintf("host-%c-%d", 'a'+p.domain, p.host+1)
 }
 
-// newAlone gives each host a keeper of its own for all servers of its domain.
-func newAlone(w *world) router {
-	k := newKept(w)
-	for _, h := range k.order {
-		share := max(1, w.deployment.SlotsPerServer/w.domains[h.place.domain].Hosts)
-		one := newKeeper(w, h.place, w.serversOf(h.place.domain), share)
-		k.keepers = append(k.keepers, one)
-		h.choices = []*keeper{one}
-	}
-	k.start()
-	return k.router()
-}
-
-func newServerKeepers(w *world) router { return newKeepers(w, 1) }
-
-func newGroupKeepers(w *world) router { return newKeepers(w, groupSize) }
+func newAlone(w *world) router { return newKept(w, 0) }
 
-// newKeepers gives each group of servers one keeper, spread over the hosts of
-// the domain.
-func newKeepers(w *world, size int) router {
-	k := newKept(w)
-	for domain, d := range w.domains {
-		var made []*keeper
-		for part := range slices.Chunk(w.serversOf(domain), size) {
-			place := hostPlace{domain: domain, host: len(made) % d.Hosts}
-			made = append(made, newKeeper(w, place, part, w.deployment.SlotsPerServer))
-		}
-		for host := range d.Hosts {
-			k.hosts[hostPlace{domain: domain, host: host}].choices = made
-		}
-		k.keepers = append(k.keepers, made...)
-	}
-	k.start()
-	return k.router()
-}
+func newServerKeepers(w *world) router { return newKept(w, 1) }
 
-// frameBytes is what the link adds to each message.
-const frameBytes = 8
-
-// send delivers a message between two hosts, at once within one.
-func (w *world) send(from, to hostPlace, message any, do func()) {
-	if w.cut(from.domain, to.domain) {
-		return
-	}
-	w.after(w.count(from, to, message), do)
-}
-
-// count counts a message and returns its delay.
-func (w *world) count(from, to hostPlace, message any) clock.Millis {
-	if from == to {
-		return 0
-	}
-	body, err := msgpack.Marshal(message)
-	if err != nil {
-		panic(err) // the benchmark's own types can be encoded
-	}
-	w.traffic.Messages++
-	w.traffic.Bytes += len(body) + frameBytes
-	return w.delay(from.domain, to.domain)
-}
+func newGroupKeepers(w *world) router { return newKept(w, keep.GroupSize) }
 
 // ParsePolicy returns the policy of a name.
 func ParsePolicy(name string) (PolicyName, error) {
--- a/internal/tools/bench/request.go
+++ b/internal/tools/bench/request.go
@@ -86,6 +86,8 @@
 	offset   int
 	sent     clock.Millis
 	first    clock.Millis
+	last     clock.Millis
+	tokens   int
 	// lost is true once a cut has separated the host and the server.
 	lost bool
 	// over is true once the entry host no longer listens.
@@ -109,17 +111,19 @@
 	if resume {
 		a.offset = r.got
 	}
-	a.reported = a.offset
 	r.attempts = append(r.attempts, a)
 	r.world.running[r.hostPlace()] = append(r.world.running[r.hostPlace()], a)
 	if r.world.cut(r.domain, s.domain) {
-		r.world.after(connectTimeout, a.fail)
+		r.world.after(connectTimeout, func() { a.fail(sched.OutcomeUnreachable) })
 		return a
 	}
 	r.world.after(r.world.delay(r.domain, s.domain), func() { s.submit(a) })
 	return a
 }
 
+// progressPeriod is how often an entry host notes an attempt's progress.
+const progressPeriod = 200 * clock.Millis(1)
+
 // connectTimeout is after what time a host gives a connection up.
 const connectTimeout = 500 * clock.Millis(1)
 
@@ -129,19 +133,33 @@
 		return
 	}
 	now := a.request.world.now
-	if a.first < 0 {
+	first := a.first < 0
+	if first {
 		a.first = now - a.sent
-		a.reportedAt = now
+		a.mark(now)
 		a.request.world.router.first(a)
 	}
+	a.tokens++
+	a.last = now
 	a.request.take(t.Index, now)
 	if t.Last {
 		a.over = true
 		a.request.end(endingAnswered, "")
 		a.request.world.router.done(a)
+		return
+	}
+	if first || now-a.reportedAt >= progressPeriod {
+		a.request.world.router.report(a)
+		a.mark(now)
 	}
 }
 
+// mark remembers where a report of progress ended.
+func (a *attempt) mark(now clock.Millis) {
+	a.reported = a.tokens
+	a.reportedAt = now
+}
+
 func (r *request) take(index int, now clock.Millis) {
 	if index < r.got {
 		return
@@ -155,12 +173,12 @@
 	r.last = now
 }
 
-func (a *attempt) fail() {
+func (a *attempt) fail(how sched.Outcome) {
 	if a.over {
 		return
 	}
 	a.over = true
-	a.request.world.router.failed(a)
+	a.request.world.router.failed(a, how)
 }
 
 // cancel withdraws an attempt.
@@ -173,20 +191,12 @@
 	w.after(w.delay(a.request.domain, a.server.domain), func() { a.server.cancel(a) })
 }
 
-// progress is what the entry host reports of an attempt, since its last report.
+// progress is what the entry host knows of an attempt, with the mean time
+// between tokens since the last report.
 func (a *attempt) progress() sched.Progress {
-	r := a.request
-	p := sched.Progress{ID: a.ask.id, Tokens: r.got, FirstToken: a.first}
-	if r.got > a.reported && r.last > a.reportedAt {
-		tokens := r.got - a.reported
-		if a.reported == a.offset {
-			tokens--
-		}
-		if tokens > 0 {
-			p.BetweenTokens = float64(r.last-a.reportedAt) / float64(tokens)
-		}
-		a.reported = r.got
-		a.reportedAt = r.last
+	p := sched.Progress{Tokens: a.offset + a.tokens, FirstToken: a.first}
+	if since := a.tokens - a.reported; since > 0 {
+		p.BetweenTokens = float64(a.last-a.reportedAt) / float64(since)
 	}
 	return p
 }
--- a/internal/tools/bench/server.go
+++ b/internal/tools/bench/server.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"siskinsaddle/internal/fakes/batch"
+	"siskinsaddle/internal/policy/sched"
 )
 
 // server is one model engine in virtual time.
@@ -39,7 +40,7 @@
 		return
 	}
 	if s.down {
-		s.world.after(s.world.delay(s.domain, a.request.domain), a.fail)
+		s.world.after(s.world.delay(s.domain, a.request.domain), func() { a.fail(sched.OutcomeUnreachable) })
 		return
 	}
 	s.attempts[a.id] = a
@@ -129,7 +130,7 @@
 	slices.SortFunc(lost, func(a, b *attempt) int { return a.request.number - b.request.number })
 	s.attempts = map[string]*attempt{}
 	for _, a := range lost {
-		s.world.after(s.world.delay(s.domain, a.request.domain), a.fail)
+		s.world.after(s.world.delay(s.domain, a.request.domain), func() { a.fail(sched.OutcomeFailed) })
 	}
 }
 
--- a/internal/tools/bench/world.go
+++ b/internal/tools/bench/world.go
@@ -1,8 +1,11 @@
 package bench
 
 import (
+	"slices"
+
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/batch"
+	"siskinsaddle/internal/policy/audit"
 	"siskinsaddle/internal/policy/sched"
 )
 
@@ -20,9 +23,9 @@
 	asks       map[string]*ask
 	// running are the open attempts, by entry host.
 	running map[hostPlace][]*attempt
-	// keepers are all keepers, none for Naive.
-	keepers []*keeper
-	// onCut is called when failure domains are separated.
+	// audits check all groups that are kept.
+	audits []*audit.Auditor
+	// onCut is called when failure domains are separated or joined.
 	onCut   func()
 	open    int
 	gaps    *gaps
@@ -34,12 +37,13 @@
 type router struct {
 	// arrive takes a request that has reached its entry host.
 	arrive func(r *request)
-	// decided takes a keeper's decision that has reached the host.
-	decided func(a *ask, d sched.Decision)
 	// first takes an attempt whose first token has reached the host.
 	first func(a *attempt)
-	// failed takes an attempt whose connection has ended too early.
-	failed func(a *attempt)
+	// report takes an attempt's progress, at most each progressPeriod.
+	report func(a *attempt)
+	// failed takes an attempt whose connection has ended too early, or could
+	// not be made.
+	failed func(a *attempt, how sched.Outcome)
 	// done takes an attempt whose last token has reached the host.
 	done func(a *attempt)
 }
@@ -92,6 +96,11 @@
 	return a != b && (w.cutOff[a] || w.cutOff[b])
 }
 
+func (w *world) server(name string) *server {
+	at := slices.IndexFunc(w.servers, func(s *server) bool { return s.name == name })
+	return w.servers[at]
+}
+
 // serversOf returns the servers of a failure domain.
 func (w *world) serversOf(domain int) []*server {
 	var found []*server
