--- a/internal/share/accept/collector.go
+++ b/internal/share/accept/collector.go
@@ -21,11 +21,11 @@
 
 // Collector leads this host's failure domain through a push: it collects the
 // acknowledgements, confirms, and reports when the generation is in force.
-// Several hosts of a domain may do so at once without harm.
+// Several hosts of a domain may do so at once without harm. Run or Step is used
+// by one goroutine.
 type Collector struct {
 	Watch *Watch
 
-	mu         sync.Mutex
 	collecting *collection
 	spreading  *collection
 	// seen is the generation at hand, since when it was first seen.
@@ -51,7 +51,7 @@
 	if undecided {
 		at = staged.Number
 	}
-	if !c.turn(now, at) {
+	if !undecided && c.reported >= at || !c.turn(now, at) {
 		return
 	}
 	if undecided {
@@ -63,8 +63,6 @@
 
 // turn tells whether it is this host's turn and time for a round.
 func (c *Collector) turn(now clock.Millis, at int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if at != c.seen {
 		c.seen = at
 		c.seenSince = now
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -302,7 +302,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if request.Leaving {
-		delete(h.roster.peers, request.From)
+		h.roster.remove(request.From)
 		return HelloReply{}
 	}
 	h.roster.hello(request.From, h.now())
--- a/internal/share/accept/roster.go
+++ b/internal/share/accept/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 
 	"siskinsaddle/internal/base/clock"
@@ -27,6 +28,8 @@
 	// listed tells that the registrations were read while this host's own one
 	// stood, so every host registered earlier is among the peers.
 	listed bool
+	// order caches ranked until the peers change.
+	order []string
 }
 
 func newRoster() *roster {
@@ -38,10 +41,16 @@
 	if !ok {
 		p = &peer{metAt: never, answeredAt: never, seenAt: never}
 		r.peers[name] = p
+		r.order = nil
 	}
 	return p
 }
 
+func (r *roster) remove(name string) {
+	delete(r.peers, name)
+	r.order = nil
+}
+
 // list takes the registrations that were read from a time on. A peer that said
 // hello since then stays, even if the reading missed it.
 func (r *roster) list(names []string, self string, readAt clock.Millis) {
@@ -52,7 +61,7 @@
 	}
 	for name, p := range r.peers {
 		if !slices.Contains(names, name) && p.metAt < readAt {
-			delete(r.peers, name)
+			r.remove(name)
 		}
 	}
 	r.listed = true
@@ -122,6 +131,28 @@
 	return names
 }
 
+// ranked returns all hosts of the domain, this one included, by rendezvous
+// hash. Hosts that agree on the peers agree on the order. It must not be
+// changed.
+func (r *roster) ranked(self, domain string) []string {
+	if r.order == nil {
+		r.order = append(r.names(), self)
+		slices.SortFunc(r.order, func(a, b string) int {
+			return cmp.Or(cmp.Compare(weight(domain, a), weight(domain, b)), cmp.Compare(a, b))
+		})
+	}
+	return r.order
+}
+
+func weight(domain, host string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(host + "/" + domain))
+	x := sum.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
 // unmet returns the peers that have not exchanged a hello.
 func (r *roster) unmet() []string {
 	return slices.DeleteFunc(r.names(), func(n string) bool { return r.peers[n].met })
--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
@@ -62,6 +61,25 @@
 	loops.Wait()
 }
 
+// Concurrent is Peers.Each on a pool. The pool should have a worker for each
+// host of the domain, since every one of them may wait for a silent peer.
+func Concurrent(pool *ants.Pool) func(n int, f func(i int)) {
+	return func(n int, f func(i int)) {
+		var all sync.WaitGroup
+		for i := range n {
+			all.Add(1)
+			work := func() {
+				defer all.Done()
+				f(i)
+			}
+			if pool.Submit(work) != nil {
+				work() // the pool is closed or full
+			}
+		}
+		all.Wait()
+	}
+}
+
 func loop(ctx context.Context, c clock.Clock, step func(context.Context)) {
 	for ctx.Err() == nil {
 		step(ctx)
@@ -104,32 +122,15 @@
 	return true
 }
 
-// rank orders the hosts of the domain by rendezvous hash. It returns this
-// host's place, and the hosts in order.
+// rank returns this host's place in the order of its domain, and the order.
 func (w *Watch) rank() (place int, order []string) {
 	h := w.Holder
 	h.mu.Lock()
-	order = append(h.roster.names(), h.Host)
-	h.mu.Unlock()
-	slices.SortFunc(order, func(a, b string) int {
-		x, y := weight(h.Domain, a), weight(h.Domain, b)
-		if x != y {
-			return map[bool]int{true: 1, false: -1}[x < y]
-		}
-		return strings.Compare(a, b)
-	})
+	defer h.mu.Unlock()
+	order = h.roster.ranked(h.Host, h.Domain)
 	return slices.Index(order, h.Host), order
 }
 
-func weight(domain, host string) uint64 {
-	sum := fnv.New64a()
-	_, _ = sum.Write([]byte(host + "/" + domain))
-	x := sum.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
 func pollers(hosts int) int {
 	return (hosts + hostsPerPoller - 1) / hostsPerPoller
 }
@@ -315,7 +316,7 @@
 
 func (w *Watch) fetchFromPeers(ctx context.Context, ref Ref) ([]byte, error) {
 	_, order := w.rank()
-	for _, name := range append(order, w.Peers.Far()...) {
+	for _, name := range slices.Concat(order, w.Peers.Far()) {
 		var reply BodyReply
 		if name == w.Holder.Host || w.call(ctx, name, KindBody, BodyRequest{Object: ref.Object}, &reply) != nil {
 			continue
