--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -21,10 +21,14 @@
 	running  map[string]*run
 	// expiry orders all waiting entries by GiveUp, timers all queues by the
 	// time at which their next entry becomes late.
-	expiry    indexed[*entry]
-	timers    indexed[*queue]
-	sequence  uint64
-	capacity  int
+	expiry   indexed[*entry]
+	timers   indexed[*queue]
+	sequence uint64
+	capacity int
+	// free and reserve are the group's free slots and those kept for urgent
+	// tiers, as of the last updateReserve.
+	free      int
+	reserve   int
 	decisions []Decision
 	scratch   []Candidate
 }
@@ -69,7 +73,7 @@
 	for _, e := range g.waiting {
 		waiting = append(waiting, e)
 	}
-	slices.SortFunc(waiting, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	slices.SortFunc(waiting, bySequence)
 	before := g.classes
 	for _, e := range waiting {
 		g.remove(e)
@@ -84,14 +88,15 @@
 	}
 	for name, c := range g.classes {
 		if old := before[name]; old != nil {
-			c.hold, c.unserved = old.hold, old.unserved
+			c.hold, c.unserved, c.surge = old.hold, old.unserved, old.surge
 		}
 	}
 	g.settle(now)
 }
 
 // SetServers replaces the list of servers. What runs on a server that is no
-// longer named goes on until it is released.
+// longer named goes on until it is released, and counts again if the server
+// comes back before.
 func (g *Group) SetServers(now clock.Millis, list []Server) {
 	before := g.byName
 	g.byName = make(map[string]*server, len(list))
@@ -107,16 +112,37 @@
 		g.servers = append(g.servers, s)
 	}
 	slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
+	for name, s := range before {
+		if g.byName[name] == nil && s.running > 0 {
+			s.State = ServerDown
+			g.byName[name] = s
+		}
+	}
 	g.advance(now)
 	g.refuseUnserved()
 	g.requeueAvoiding(now)
 	g.dispatch(now)
 }
 
+// SetWeight leaves a server this share of its slots, from 0 to 1, and at least
+// one. It counts from the next step on.
+func (g *Group) SetWeight(name string, weight float64) {
+	if s := g.byName[name]; s != nil {
+		s.slots.weight = weight
+	}
+}
+
+// Running is how many requests run on a server.
+func (g *Group) Running(name string) int {
+	if s := g.byName[name]; s != nil {
+		return s.running
+	}
+	return 0
+}
+
 // Offer adds a waiting request. One that is known already keeps its place; if
 // it runs, its grant is repeated.
 func (g *Group) Offer(now clock.Millis, r Request) {
-	g.advance(now)
 	if _, ok := g.waiting[r.ID]; ok {
 		return
 	}
@@ -129,6 +155,7 @@
 		return
 	}
 	if r.Spilled {
+		g.advance(now)
 		g.offerSpilled(now, r)
 		return
 	}
@@ -138,17 +165,19 @@
 		e.startBy -= g.settings.FirstToken(r)
 	}
 	g.add(now, e)
+	e.queue.lane.class.surge.arrive(now)
+	g.advance(now)
 	g.dispatch(now)
-	g.bound(e)
+	g.bound(now, e)
 	g.shedHopeless(now)
 }
 
 // Cancel withdraws a request that waits, or frees the slot of one that was
 // granted.
 func (g *Group) Cancel(now clock.Millis, id string) {
-	g.advance(now)
 	if e, ok := g.waiting[id]; ok {
 		g.remove(e)
+		g.advance(now)
 		return
 	}
 	g.Release(now, Done{Progress: Progress{ID: id}, Outcome: OutcomeCancelled})
@@ -185,6 +214,7 @@
 	s := g.byName[name]
 	if s == nil {
 		s = &server{Server: Server{Name: name, State: ServerDown}}
+		g.byName[name] = s
 	}
 	g.start(now, r, s)
 }
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -31,7 +31,7 @@
 // bound sheds one request if the offered one made the queues too long. A class
 // may outgrow its own bound while lower tiers wait, since then it may not be
 // shed, but all together may not outgrow the sum of the bounds.
-func (g *Group) bound(e *entry) {
+func (g *Group) bound(now clock.Millis, e *entry) {
 	c := g.class(e.Class)
 	if c.MaxWaiting <= 0 {
 		return
@@ -41,30 +41,53 @@
 		return
 	}
 	if len(g.waiting) > g.capacity {
-		g.shed(low.victim())
+		g.shed(low.victim(now))
 		return
 	}
 	if c.waiting > c.MaxWaiting && low.Tier <= c.Tier {
-		g.shed(c.victim())
+		g.shed(c.victim(now))
 	}
 }
 
-// shedHopeless sheds requests of the lowest tier that cannot be reached before
-// their callers give up, even if no further request arrives.
+// shedHopeless sheds requests of the lowest tier that cannot be reached while
+// they are of use, even if no further request arrives. If a higher tier has
+// requests that are past their use, the lowest tier sheds too, until the
+// higher one may: nothing lower would be reached before those.
 func (g *Group) shedHopeless(now clock.Millis) {
 	for {
 		c := g.lowest()
 		if c == nil {
 			return
 		}
-		e := c.victim()
-		if e.startBy >= now || now+g.waitEstimate(c.tier) <= e.GiveUp {
+		e := c.oldest()
+		if now+g.waitEstimate(c.tier) <= e.usefulUntil() && !g.pastUseAbove(now, c.tier) {
 			return
 		}
 		g.shed(e)
 	}
 }
 
+func (g *Group) pastUseAbove(now clock.Millis, low *tier) bool {
+	for _, t := range g.tiers {
+		if t == low {
+			return false
+		}
+		for _, c := range t.classes {
+			if c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// usefulUntil is the time until which a request is kept waiting while there is
+// more work than slots: twice its target. An answer that begins later is late
+// for its caller, and makes others late.
+func (e *entry) usefulUntil() clock.Millis {
+	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived))
+}
+
 func (g *Group) shed(e *entry) {
 	g.remove(e)
 	g.refuse(e.Request, ReasonShed)
@@ -98,11 +121,5 @@
 			work += float64(c.waiting) * c.hold
 		}
 	}
-	total := 0
-	for _, s := range g.servers {
-		if s.State == ServerUp {
-			total += s.slots.limit()
-		}
-	}
-	return clock.Millis(work / float64(max(1, total)))
+	return clock.Millis(work / float64(max(1, g.totalSlots())))
 }
