--- /dev/null
+++ b/internal/tools/verbs/manifest.go
@@ -0,0 +1,348 @@
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/confs"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/plat/amazon"
+	"siskinsaddle/internal/share/accept"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/mfest"
+)
+
+const shownChanges = 40
+
+// platformSide is the platform as the manifest verbs use it. They need no
+// host: the record, the bodies and the domains' reports are all there.
+type platformSide struct {
+	accept.Platform
+	registrations func(ctx context.Context, domain string) ([]string, error)
+}
+
+// manifestVerbs are the verbs under "manifest". connect is a seam for tests.
+type manifestVerbs struct {
+	connect  func(s confs.Settings) platformSide
+	settings string
+	json     bool
+}
+
+// NewManifest returns the verb that holds those about the manifest.
+func NewManifest() *cobra.Command {
+	return (&manifestVerbs{connect: connectPlatform}).command()
+}
+
+func (v *manifestVerbs) command() *cobra.Command {
+	c := group("manifest", "Checks, pushes and shows the manifest",
+		`  siskinsaddle manifest check market.hujson
+  siskinsaddle manifest push --settings host.hujson --wait market.hujson
+  siskinsaddle manifest show --settings host.hujson
+  siskinsaddle manifest history --settings host.hujson
+  siskinsaddle manifest diff --settings host.hujson current market.hujson`,
+		v.check(), v.push(), v.show(), v.history(), v.diff())
+	c.PersistentFlags().StringVar(&v.settings, "settings", "", "file with settings that name the platform; defaults without it")
+	c.PersistentFlags().BoolVar(&v.json, "json", false, "print JSON for programs")
+	return c
+}
+
+func connectPlatform(s confs.Settings) platformSide {
+	platform := amazon.Settings{
+		TableEndpoint:  s.Platform.TableEndpoint,
+		ObjectEndpoint: s.Platform.ObjectEndpoint,
+		Region:         s.Platform.Region,
+		AccessKey:      s.Platform.AccessKey,
+		SecretKey:      string(s.Platform.SecretKey),
+		Table:          s.Platform.TableName,
+		Bucket:         s.Platform.Bucket,
+		DialTimeout:    s.Platform.TimeoutMilliseconds,
+		Timeout:        s.Platform.TimeoutMilliseconds,
+	}
+	t := amazon.NewTable(platform)
+	members := &hosts.Node{Table: t, Log: logs.New(os.Stderr, s.LogLevel)}
+	return platformSide{
+		Platform: accept.Platform{Table: t, Objects: amazon.NewObjects(platform), Clock: clock.System()},
+		registrations: func(ctx context.Context, domain string) ([]string, error) {
+			found, err := members.Registrations(ctx, domain)
+			names := make([]string, 0, len(found))
+			for _, h := range found {
+				names = append(names, h.Name)
+			}
+			return names, err
+		},
+	}
+}
+
+// open reads the settings and connects to the platform that they name.
+func (v *manifestVerbs) open() (platformSide, error) {
+	s, err := readSettings(v.settings)
+	if err != nil {
+		return platformSide{}, err
+	}
+	return v.connect(s), nil
+}
+
+func readManifest(file string) (mfest.Manifest, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return mfest.Manifest{}, errors.Wrap(err, "manifest")
+	}
+	m, list := mfest.Parse(file, text)
+	return m, list.Err()
+}
+
+func printJSON(w io.Writer, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", text)
+	return err
+}
+
+func (v *manifestVerbs) check() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Reports every finding in a manifest with path, line and column",
+		Example: `  siskinsaddle manifest check market.hujson
+  market.hujson:12:15: Classes[0].Tier: tier 0 is not within 1 to 9`,
+		Args: oneFile,
+		RunE: func(c *cobra.Command, args []string) error {
+			m, err := readManifest(args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%s: no findings; %d failure domains, %d services, %d classes, %d workspaces\n",
+				args[0], len(m.FailureDomains), len(m.Services), len(m.Classes), len(m.Workspaces))
+			return err
+		},
+	}
+}
+
+func (v *manifestVerbs) show() *cobra.Command {
+	var body bool
+	c := &cobra.Command{
+		Use:   "show [GENERATION]",
+		Short: "Shows which generation is in force in which failure domain",
+		Long: `Shows the generation in force, one that is being pushed, and what each failure
+domain last reported. With --body it prints the manifest itself, as a file with
+the Base that a push of a changed copy needs.`,
+		Example: `  siskinsaddle manifest show --settings host.hujson
+  siskinsaddle manifest show --settings host.hujson --body > market.hujson
+  siskinsaddle manifest show --settings host.hujson --body 41`,
+		Args: func(c *cobra.Command, args []string) error { return wrongUse(cobra.MaximumNArgs(1)(c, args)) },
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := v.open()
+			if err != nil {
+				return err
+			}
+			if body || len(args) > 0 {
+				return showBody(c, p, args)
+			}
+			return v.showState(c, p)
+		},
+	}
+	c.Flags().BoolVar(&body, "body", false, "print the manifest")
+	return c
+}
+
+func showBody(c *cobra.Command, p platformSide, args []string) error {
+	which := currentName
+	if len(args) > 0 {
+		which = args[0]
+	}
+	m, err := p.generation(c.Context(), which)
+	if err != nil {
+		return err
+	}
+	r, err := p.Read(c.Context())
+	if err != nil {
+		return err
+	}
+	text, err := mfest.Format(m, r.InForce().Number)
+	if err != nil {
+		return err
+	}
+	_, err = c.OutOrStdout().Write(text)
+	return err
+}
+
+// shownState is what `manifest show --json` prints.
+type shownState struct {
+	Record  accept.Record
+	Domains []accept.InForce
+}
+
+func (v *manifestVerbs) showState(c *cobra.Command, p platformSide) error {
+	r, err := p.Read(c.Context())
+	if err != nil {
+		return err
+	}
+	m, err := p.Manifest(c.Context(), r.InForce())
+	if err != nil {
+		return err
+	}
+	s := shownState{Record: r}
+	for _, d := range m.FailureDomains {
+		f, err := p.ReadInForce(c.Context(), d.Name)
+		if err != nil {
+			return err
+		}
+		s.Domains = append(s.Domains, f)
+	}
+	if v.json {
+		return printJSON(c.OutOrStdout(), s)
+	}
+	_, err = io.WriteString(c.OutOrStdout(), s.String())
+	return err
+}
+
+// String gives a line for each generation at hand and each failure domain.
+func (s shownState) String() string {
+	r := s.Record
+	text := fmt.Sprintf("in force: generation %d\n", r.InForce().Number)
+	if r.Number > 0 {
+		text += "last push: " + recordLine(r)
+	}
+	for _, f := range s.Domains {
+		text += fmt.Sprintf("%s: generation %d on %d hosts since %s%s\n", f.Domain, f.Generation, f.Hosts, wallTime(f.At), silentHosts(f.Silent))
+	}
+	return text
+}
+
+func silentHosts(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", silent: %v", names)
+}
+
+func wallTime(at clock.Millis) string {
+	return time.UnixMilli(int64(at)).UTC().Format(time.RFC3339)
+}
+
+func recordLine(r accept.Record) string {
+	line := fmt.Sprintf("generation %d %s, %s by %s, hash %.12s", r.Number, r.State, wallTime(r.At), r.By, r.Body.Hash)
+	switch {
+	case r.State == accept.StateStaging:
+		line += fmt.Sprintf(", waits for %v", r.Open())
+	case r.Reason != "":
+		line += ": " + r.Reason
+	case len(r.LeftBehind) > 0:
+		line += fmt.Sprintf(", left behind: %v", r.LeftBehind)
+	}
+	return line + "\n"
+}
+
+func (v *manifestVerbs) history() *cobra.Command {
+	return &cobra.Command{
+		Use:     "history",
+		Short:   "Lists the last generations, the latest last",
+		Example: `  siskinsaddle manifest history --settings host.hujson`,
+		Args:    noArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p, err := v.open()
+			if err != nil {
+				return err
+			}
+			records, err := p.History(c.Context())
+			if err != nil {
+				return err
+			}
+			if v.json {
+				return printJSON(c.OutOrStdout(), records)
+			}
+			for _, r := range records {
+				if _, err := io.WriteString(c.OutOrStdout(), recordLine(r)); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// currentName stands for the generation in force on the command line.
+const currentName = "current"
+
+// generation reads a manifest by its number, or the one in force.
+func (p platformSide) generation(ctx context.Context, which string) (mfest.Manifest, error) {
+	if which == currentName {
+		r, err := p.Read(ctx)
+		if err != nil {
+			return mfest.Manifest{}, err
+		}
+		return p.Manifest(ctx, r.InForce())
+	}
+	number, err := strconv.ParseInt(which, 10, 64)
+	if err != nil {
+		return mfest.Manifest{}, wrongUse(errors.Newf("generation %q is neither a number nor %q", which, currentName))
+	}
+	records, err := p.History(ctx)
+	if err != nil {
+		return mfest.Manifest{}, err
+	}
+	for _, r := range records {
+		if r.Number == number {
+			return p.Manifest(ctx, r.Generation)
+		}
+	}
+	return mfest.Manifest{}, errors.Newf("generation %d is not in the history", number)
+}
+
+func (v *manifestVerbs) diff() *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FROM TO",
+		Short: "Lists what differs between two manifests",
+		Long: `Lists what differs between two manifests. Each is a file, the number of a
+generation, or "current" for the one in force.`,
+		Example: `  siskinsaddle manifest diff old.hujson new.hujson
+  siskinsaddle manifest diff --settings host.hujson current market.hujson
+  siskinsaddle manifest diff --settings host.hujson 41 42`,
+		Args: func(c *cobra.Command, args []string) error { return wrongUse(cobra.ExactArgs(2)(c, args)) },
+		RunE: func(c *cobra.Command, args []string) error {
+			var sides [2]mfest.Manifest
+			for i, name := range args {
+				m, err := v.named(c.Context(), name)
+				if err != nil {
+					return err
+				}
+				sides[i] = m
+			}
+			changes := mfest.Diff(sides[0], sides[1])
+			if v.json {
+				return printJSON(c.OutOrStdout(), changes)
+			}
+			_, err := io.WriteString(c.OutOrStdout(), mfest.FormatDiff(changes, len(changes)))
+			return err
+		},
+	}
+}
+
+// named reads the manifest that a word of the command line names.
+func (v *manifestVerbs) named(ctx context.Context, name string) (mfest.Manifest, error) {
+	if _, err := strconv.ParseInt(name, 10, 64); err != nil && name != currentName {
+		return readManifest(name)
+	}
+	p, err := v.open()
+	if err != nil {
+		return mfest.Manifest{}, err
+	}
+	return p.generation(ctx, name)
+}
+
+// interruptible ends a verb's context on an interrupt or SIGTERM.
+func interruptible(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+}
