--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -250,7 +250,7 @@
 		if c.peer(a.keeper).lost {
 			c.withdraw(now, a)
 			c.goAlone(now, a)
-		} else if now-a.asked >= reassertWait {
+		} else if !c.switchGroup(now, a) && now-a.asked >= reassertWait {
 			c.reassert(now, a)
 		}
 	case stateAlone:
@@ -273,6 +273,27 @@
 	}
 }
 
+// switchGroup moves a request that waits to another group of its service that
+// is known to have free slots.
+func (c *core) switchGroup(now clock.Millis, a *ask) bool {
+	if now-a.since < switchWait {
+		return false
+	}
+	for _, g := range c.groups(a.request.Service, c.domain) {
+		k, ok := c.digests[g.Name]
+		fresh := ok && now-k.at <= freshLife
+		if g.Name == a.group || !fresh || k.digest.FreeSlots <= 0 || !g.serves(a.request.Model) {
+			continue
+		}
+		c.tally("Switched")
+		c.withdraw(now, a)
+		a.group, a.began = g.Name, now
+		c.place(now, a)
+		return true
+	}
+	return false
+}
+
 // reassert repeats an ask. A keeper that knows it keeps its place.
 func (c *core) reassert(now clock.Millis, a *ask) {
 	a.asked = now
--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -21,6 +21,10 @@
 	rebuildWait = 400 * clock.Millis(1)
 	serversWait = 100 * clock.Millis(1) // between looks at the list of servers
 	digestLife  = 2 * clock.Second
+	// switchWait is how long a request waits in one group before it may go to
+	// another one that had free slots within freshLife.
+	switchWait = 50 * clock.Millis(1)
+	freshLife  = 250 * clock.Millis(1)
 	// progressWait is the longest time without a report of a running request.
 	progressWait = clock.Second
 	// reassertWait is between repetitions of an ask that waits at its keeper,
--- /dev/null
+++ b/internal/tools/cohere/domain.go
@@ -0,0 +1,110 @@
+package cohere
+
+import (
+	"context"
+	"fmt"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/keep"
+	"siskinsaddle/internal/share/link"
+)
+
+const (
+	service    = "canvas-llm"
+	domainName = "prairie-a"
+	secret     = "the secret of a measurement"
+	// floorPeriod is longer than a run, so that no grant is given for a floor.
+	floorPeriod = clock.Hour
+	maxWaiting  = 100_000
+)
+
+// domain is a failure domain of hosts on loopback sockets.
+type domain struct {
+	options   Options
+	nodes     []*keep.Node
+	links     []*link.Node
+	addresses map[string]string
+	book      *book
+}
+
+func newDomain(ctx context.Context, o Options) (*domain, error) {
+	d := &domain{options: o, addresses: map[string]string{}, book: newBook(o)}
+	var all []hosts.Host
+	for i := range o.Hosts {
+		name := fmt.Sprintf("host-%d", i)
+		l, err := d.open(name)
+		if err != nil {
+			return nil, err
+		}
+		d.addresses[name] = l.Addr()
+		all = append(all, hosts.Host{Name: name, FailureDomain: domainName, Incarnation: 1, State: hosts.StateAlive})
+	}
+	for i, l := range d.links {
+		if err := l.Start(ctx); err != nil {
+			return nil, err
+		}
+		go func() { _ = l.Run(ctx) }()          // ends with the context
+		go func() { _ = d.nodes[i].Run(ctx) }() // ends with the context
+	}
+	for _, n := range d.nodes {
+		n.ViewChanged(hosts.NewView(1, all...))
+	}
+	return d, nil
+}
+
+func (d *domain) open(name string) (*link.Node, error) {
+	counters := count.NewSet()
+	l := &link.Node{
+		Name: name, Incarnation: 1, Listen: "127.0.0.1:0", Secret: []byte(secret),
+		Clock: clock.System(), Log: logs.Discard(), Counters: counters,
+		Address: func(peer string) (string, bool) {
+			address, ok := d.addresses[peer]
+			return address, ok
+		},
+	}
+	n := &keep.Node{
+		Name: name, Incarnation: 1, FailureDomain: domainName, Link: l,
+		Services: func() []string { return []string{service} }, Servers: d.servers, Settings: settings,
+		Clock: clock.System(), Log: logs.Discard(), Counters: counters,
+		BundleWait: d.options.BundleWait, GroupSize: groupSizes[d.options.Way], NoKeepers: d.options.Way == WayAlone,
+	}
+	n.Prepare()
+	d.links, d.nodes = append(d.links, l), append(d.nodes, n)
+	return l, l.Bind()
+}
+
+func (d *domain) servers(string, string) []sched.Server {
+	var all []sched.Server
+	for i := range d.options.Servers {
+		all = append(all, sched.Server{Name: fmt.Sprintf("llm-%02d", i), State: sched.ServerUp, Slots: d.options.Slots})
+	}
+	return all
+}
+
+func className(tier int) string { return fmt.Sprintf("class-%d", tier+1) }
+
+func settings(string) (sched.Settings, uint64) {
+	var classes []sched.Class
+	for tier := range tierCount {
+		classes = append(classes, sched.Class{
+			Name: className(tier), Tier: tier + 1, FloorPeriod: floorPeriod, MaxWaiting: maxWaiting,
+		})
+	}
+	return sched.Settings{Classes: classes}, 1
+}
+
+// traffic returns the messages and bytes that all hosts have sent.
+func (d *domain) traffic() (messages, bytes int64) {
+	for _, l := range d.links {
+		for _, kind := range []string{"Keep", "Ping", "Pong"} {
+			labels := []count.Label{{Key: "direction", Value: "Out"}, {Key: "kind", Value: kind}}
+			messages += l.Counters.Count("siskinsaddle_link_messages_total", labels...)
+			bytes += l.Counters.Count("siskinsaddle_link_bytes_total", labels...)
+		}
+	}
+	return messages, bytes
+}
