--- a/internal/base/confs/confs.go
+++ b/internal/base/confs/confs.go
@@ -75,8 +75,8 @@
 	MaxAttempts                 int          `about:"tries of one repeatable request at the most"`
 }
 
-// Platform are the addresses of the platform. With no TableEndpoint the host
-// keeps its records in the process, which only the embedded defaults do.
+// Platform are the addresses of the platform. The defaults are those of the
+// stand-in.
 type Platform struct {
 	Region                 string       `about:"region name for the platform's API"`
 	TableEndpoint          string       `about:"URL of the table service"`
@@ -121,6 +121,11 @@
 		},
 		Platform: Platform{
 			Region:                 "prairie",
+			TableEndpoint:          "http://127.0.0.1:7401",
+			ObjectEndpoint:         "http://127.0.0.1:7401",
+			ListAddress:            "127.0.0.1:7401",
+			AccessKey:              "embedded",
+			SecretKey:              "embedded",
 			TableName:              "siskinsaddle",
 			Bucket:                 "siskinsaddle",
 			TimeoutMilliseconds:    clock.Second,
@@ -149,9 +154,6 @@
 		}
 	}
 	for _, a := range addresses(s) {
-		if a.value == "" && a.optional {
-			continue
-		}
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			found = append(found, x.At(a.path, "address %q is not IP:port", a.value))
 		}
@@ -181,9 +183,8 @@
 }
 
 type named struct {
-	path     string
-	value    string
-	optional bool
+	path  string
+	value string
 }
 
 func names(s Settings) []named {
@@ -191,6 +192,8 @@
 		{path: "HostName", value: s.HostName},
 		{path: "Region", value: s.Region},
 		{path: "FailureDomain", value: s.FailureDomain},
+		{path: "Platform.TableEndpoint", value: s.Platform.TableEndpoint},
+		{path: "Platform.ObjectEndpoint", value: s.Platform.ObjectEndpoint},
 		{path: "Platform.TableName", value: s.Platform.TableName},
 		{path: "Platform.Bucket", value: s.Platform.Bucket},
 	}
@@ -201,7 +204,7 @@
 		{path: "Callers.Address", value: s.Callers.Address},
 		{path: "Callers.OperatorAddress", value: s.Callers.OperatorAddress},
 		{path: "Links.Address", value: s.Links.Address},
-		{path: "Platform.ListAddress", value: s.Platform.ListAddress, optional: true},
+		{path: "Platform.ListAddress", value: s.Platform.ListAddress},
 	}
 }
 
--- a/internal/tools/loads/jobs.go
+++ b/internal/tools/loads/jobs.go
@@ -16,7 +16,7 @@
 	for _, c := range l.Settings.Classes {
 		for n, at := range times(c.PerSecond, l.Settings.DurationMilliseconds) {
 			all = append(all, job{at: at, run: func() { l.complete(ctx, c, n) }})
-			if l.Settings.Direct != "" {
+			if l.Settings.Direct != "" && n%l.Settings.DirectEvery == 0 {
 				all = append(all, job{at: at, run: func() { l.direct(ctx, c, n) }})
 			}
 		}
--- a/internal/tools/loads/loads.go
+++ b/internal/tools/loads/loads.go
@@ -33,6 +33,9 @@
 	Hosts []string
 	// Direct is the address of a backend server, empty for no comparison.
 	Direct string
+	// DirectEvery sends only each so many-th completion directly as well, so
+	// that the one server is not loaded with the share of all.
+	DirectEvery int
 	// Faults is the address of the stand-ins, which tell how often each
 	// booking ran; empty to leave that out.
 	Faults               string
@@ -83,6 +86,7 @@
 		},
 		BookingsPerSecond: 4,
 		Repeats:           2,
+		DirectEvery:       1,
 	}
 }
 
@@ -98,6 +102,7 @@
 		{"DurationMilliseconds", s.DurationMilliseconds <= 0 || s.DurationMilliseconds > maxDuration},
 		{"MaxOpen", s.MaxOpen <= 0 || s.MaxOpen > maxOpenMost},
 		{"BookingsPerSecond", s.BookingsPerSecond < 0 || s.BookingsPerSecond > maxPerSecond},
+		{"DirectEvery", s.DirectEvery < 1},
 		{"Repeats", s.Repeats < 1 || s.Repeats > maxRepeats},
 		{"Classes", rate(s.Classes) > maxPerSecond},
 	} {
--- a/internal/tools/verbs/manifest.go
+++ b/internal/tools/verbs/manifest.go
@@ -58,17 +58,7 @@
 }
 
 func connectPlatform(s confs.Settings) platformSide {
-	platform := amazon.Settings{
-		TableEndpoint:  s.Platform.TableEndpoint,
-		ObjectEndpoint: s.Platform.ObjectEndpoint,
-		Region:         s.Platform.Region,
-		AccessKey:      s.Platform.AccessKey,
-		SecretKey:      string(s.Platform.SecretKey),
-		Table:          s.Platform.TableName,
-		Bucket:         s.Platform.Bucket,
-		DialTimeout:    s.Platform.TimeoutMilliseconds,
-		Timeout:        s.Platform.TimeoutMilliseconds,
-	}
+	platform := platformOf(s)
 	t := amazon.NewTable(platform)
 	members := &hosts.Node{Table: t, Log: logs.New(os.Stderr, s.LogLevel)}
 	return platformSide{
--- a/internal/tools/verbs/root.go
+++ b/internal/tools/verbs/root.go
@@ -75,7 +75,7 @@
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongUse(err) })
-	root.AddCommand(newServe(), newSettings(), newStatus(), newVersion(), NewStandin(), NewBench(), newLoad())
+	root.AddCommand(newServe(), newSettings(), newStatus(), newVersion(), NewStandin(), NewBench(), newLoad(), NewManifest())
 	return root
 }
 
--- a/internal/tools/verbs/serve.go
+++ b/internal/tools/verbs/serve.go
@@ -59,7 +59,6 @@
 		}
 		defer st.Stop()
 		l.WithPrefix("standin").Info("Stand-ins run.", "faults", "http://"+st.Address()+"/faults")
-		s = embed(s, st.Platform().Address())
 	}
 	h := newHost(s, l)
 	if err := h.Start(context.Background()); err != nil {
@@ -86,19 +85,23 @@
 	l.WithPrefix("push").Info("Pushed the embedded manifest.", "outcome", answer.Outcome, "generation", answer.Generation)
 }
 
-// embed points a host's settings to the stand-in of the platform.
-func embed(s confs.Settings, platform string) confs.Settings {
-	s.Platform.TableEndpoint = "http://" + platform
-	s.Platform.ObjectEndpoint = "http://" + platform
-	s.Platform.ListAddress = platform
-	s.Platform.AccessKey = "embedded"
-	s.Platform.SecretKey = "embedded"
-	return s
-}
-
 // newHost makes a host that reaches the platform as its settings say.
 func newHost(s confs.Settings, l *log.Logger) *hostd.Host {
-	platform := amazon.Settings{
+	platform := platformOf(s)
+	return &hostd.Host{
+		Settings: s,
+		List:     roll.NewHTTP(s.Platform.ListAddress, s.Platform.TimeoutMilliseconds),
+		Table:    amazon.NewTable(platform),
+		Objects:  amazon.NewObjects(platform),
+		Clock:    clock.System(),
+		Count:    count.NewSet(),
+		Log:      l,
+	}
+}
+
+// platformOf is what the adapter of the platform needs of the settings.
+func platformOf(s confs.Settings) amazon.Settings {
+	return amazon.Settings{
 		TableEndpoint:  s.Platform.TableEndpoint,
 		ObjectEndpoint: s.Platform.ObjectEndpoint,
 		Region:         s.Platform.Region,
@@ -109,13 +112,4 @@
 		DialTimeout:    s.Platform.TimeoutMilliseconds,
 		Timeout:        s.Platform.TimeoutMilliseconds,
 	}
-	return &hostd.Host{
-		Settings: s,
-		List:     roll.NewHTTP(s.Platform.ListAddress, s.Platform.TimeoutMilliseconds),
-		Table:    amazon.NewTable(platform),
-		Objects:  amazon.NewObjects(platform),
-		Clock:    clock.System(),
-		Count:    count.NewSet(),
-		Log:      l,
-	}
 }
