Spill as soon as a request would wait, not only past its target

Cause: the digest had no expected wait while slots were kept for urgent work, so that lower tiers queued, and were shed, beside failure domains with room. Conclusion: a sixteenth of the target. The test's rule for 'in time here' followed the old threshold; it now checks both sides of the new one.

--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -260,7 +260,7 @@
 // Digest returns the group in a few numbers.
 func (g *Group) Digest(_ clock.Millis) Digest {
 	d := Digest{FreeSlots: g.freeSlots(), Waiting: len(g.waiting), Running: len(g.running)}
-	if len(g.tiers) > 0 && d.FreeSlots == 0 {
+	if len(g.tiers) > 0 && d.Waiting > 0 {
 		d.WaitEstimate = g.waitEstimate(g.tiers[len(g.tiers)-1])
 	}
 	return d
--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -1,13 +1,14 @@
 // Package spill decides when a request goes to another failure domain, and to
 // which one.
 //
-// A request spills only when the own domain would let it wait past its target
-// and another domain reports free slots beyond a reserve. Three bounds keep a
-// crest in one domain from toppling another: the other domain takes spilled
-// work into spare slots only and refuses it otherwise; the own domain has at
-// most a share of its slots' number of requests elsewhere; and a domain that
-// refused is left alone for a time that doubles with each refusal. A request
-// spills once: one that came from elsewhere is never passed on.
+// A request spills only when the own domain would let it wait for more than a
+// sixteenth of its target and another domain reports free slots beyond a
+// reserve. Three bounds keep a crest in one domain from toppling another: the
+// other domain takes spilled work into spare slots only and refuses it
+// otherwise; the own domain has at most a share of its slots' number of
+// requests elsewhere; and a domain that refused is left alone for a time that
+// doubles with each refusal. A request spills once: one that came from
+// elsewhere is never passed on.
 //
 // # Usage
 //
@@ -40,6 +41,8 @@
 	// refused.
 	pauseFirst = 500 * clock.Millis(1)
 	pauseMost  = 8 * clock.Second
+	// waitShare divides a request's target: a wait beyond that part spills.
+	waitShare = 16
 )
 
 // Policy decides for one entry host. Take New; it is not safe for concurrent
@@ -84,9 +87,20 @@
 	Slots int
 }
 
+// short tells whether the own domain would let the request wait for longer than
+// waitShare of its target. Free slots do not count while others wait: they are
+// kept for urgent work.
+func (a Ask) short(now clock.Millis) bool {
+	if a.Local.FreeSlots > 0 && a.Local.Waiting == 0 {
+		return false
+	}
+	target := a.Request.Deadline - a.Request.Arrived
+	return now+a.Local.WaitEstimate > a.Request.Arrived+target/waitShare
+}
+
 // Choose returns the domain that the request goes to, "" for the own one.
 func (p *Policy) Choose(now clock.Millis, a Ask) string {
-	if a.Request.Spilled || a.Local.FreeSlots > 0 || now+a.Local.WaitEstimate <= a.Request.Deadline {
+	if a.Request.Spilled || !a.short(now) {
 		return ""
 	}
 	if float64(p.out+1) > p.settings.OutShare*float64(a.Slots) {
--- a/internal/policy/spill/spill_test.go
+++ b/internal/policy/spill/spill_test.go
@@ -34,6 +34,11 @@
 	p.Heard(2_001, "b", sched.Digest{FreeSlots: 20}, 40)
 	ask.Request.Spilled = true
 	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("spilled once already"))
-	ask.Request.Spilled, ask.Local.WaitEstimate, ask.Request.Deadline = false, 100, 2_200
-	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("in time here"))
+	ask.Request.Spilled, ask.Request.Arrived, ask.Request.Deadline = false, 2_001, 3_601
+	ask.Local = sched.Digest{FreeSlots: 2, Waiting: 9, WaitEstimate: 100}
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("waits for a sixteenth of its target here"))
+	ask.Local.WaitEstimate++
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "b", quicktest.Commentf("the free slots are kept for urgent work"))
+	ask.Local.Waiting = 0
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("nothing waits here"))
 }
