--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -258,14 +258,24 @@
 }
 
 // Digest returns the group in a few numbers.
-func (g *Group) Digest(_ clock.Millis) Digest {
-	d := Digest{FreeSlots: g.freeSlots(), Waiting: len(g.waiting), Running: len(g.running)}
+func (g *Group) Digest(now clock.Millis) Digest {
+	g.updateReserve(now)
+	d := Digest{FreeSlots: g.openSlots(), Waiting: len(g.waiting), Running: len(g.running)}
 	if len(g.tiers) > 0 && d.FreeSlots == 0 {
 		d.WaitEstimate = g.waitEstimate(g.tiers[len(g.tiers)-1])
 	}
 	return d
 }
 
+// openSlots counts the free slots that every tier may use.
+func (g *Group) openSlots() int {
+	open := 0
+	for _, s := range g.servers {
+		open += max(0, s.free()-g.settings.Headroom.Slots)
+	}
+	return max(0, min(open, g.free-g.reserve))
+}
+
 func (g *Group) freeSlots() int {
 	free := 0
 	for _, s := range g.servers {
--- a/internal/policy/sched/settings.go
+++ b/internal/policy/sched/settings.go
@@ -45,6 +45,7 @@
 
 // Digest is a Group in a few numbers, for the choice among groups.
 type Digest struct {
+	// FreeSlots are those that requests of every tier may use.
 	FreeSlots int
 	Waiting   int
 	Running   int
