Keeper messages are shorter, beats to far peers rarer

At the size to come, a host's control traffic has to stay under 20 KB/s. Groups travel as numbers, hosts that only run report less often in large domains, and four of a host's eight targets are beaten to once a second instead of five times.

--- a/internal/share/hosts/core.go
+++ b/internal/share/hosts/core.go
@@ -34,9 +34,11 @@
 
 // Timing is when membership does what, in milliseconds.
 type Timing struct {
-	Beat clock.Millis // between beats to a peer of the domain
-	Far  clock.Millis // between beats to a peer of another domain
-	Miss clock.Millis // unheard for this long: a fresh connection is tried
+	Beat clock.Millis // between beats to the nearest peers on the ring
+	Far  clock.Millis // between beats to all other targets
+	// Miss is how long one of the nearest may be unheard before a fresh
+	// connection is tried; the others as many beats.
+	Miss clock.Millis
 	// Suspect is how long a suspected peer has to refute.
 	Suspect clock.Millis
 	Retry   clock.Millis // between attempts to reach a host that is listed but not known alive
@@ -55,6 +57,8 @@
 const (
 	// FanOut is the most peers of its own domain that a host beats to.
 	FanOut = 8
+	// nearPeers of them are beaten to at the fast pace and so find a crash.
+	nearPeers = 4
 	// farPeers is the number of peers in each other domain.
 	farPeers = 2
 	// maxAttempts bounds the dials of one tick to hosts not known alive.
@@ -73,6 +77,7 @@
 	contacted bool
 	listed    bool
 	target    bool
+	near      bool         // a target that is beaten to at the fast pace
 	lastHeard clock.Millis // any contact
 	lastPath  clock.Millis // contact, or a refusal by its machine
 	lastBeat  clock.Millis
--- a/internal/share/hosts/doc.go
+++ b/internal/share/hosts/doc.go
@@ -6,7 +6,8 @@
 // when it stops. While it runs, heartbeats alone tell the others that it is
 // alive, so the table carries no load for that. Every host beats to at most
 // FanOut peers of its failure domain, at the distances 1, 2, 4, ... on the
-// ring of names, and to a few of each other domain. A beat is a call, and
+// ring of names, the first four of them five times a second and the others
+// once, and once a second to a few of each other domain. A beat is a call, and
 // news about third hosts rides on it and on its reply.
 //
 // A peer that has not been heard for MissWait is dialled afresh. Only when
--- a/internal/share/hosts/tick.go
+++ b/internal/share/hosts/tick.go
@@ -51,7 +51,11 @@
 		c.step(now, m, eventExpired)
 		return
 	}
-	if m.target && !m.probing && now-m.lastHeard >= c.timing.Miss && now-m.lastTried >= c.timing.Miss {
+	miss := c.timing.Miss
+	if !m.near {
+		miss = c.timing.Miss * c.timing.Far / c.timing.Beat
+	}
+	if m.target && !m.probing && now-m.lastHeard >= miss && now-m.lastTried >= miss {
 		c.step(now, m, eventMissed)
 	}
 	if every := c.beatEvery(now, m); every > 0 && now-m.lastBeat >= every {
@@ -62,7 +66,7 @@
 // beatEvery returns how often a peer is beaten to, 0 for never.
 func (c *core) beatEvery(now clock.Millis, m *member) clock.Millis {
 	switch {
-	case m.target && m.FailureDomain == c.self.FailureDomain:
+	case m.target && m.near:
 		return c.timing.Beat
 	case m.target:
 		return c.timing.Far
@@ -110,8 +114,10 @@
 // retarget chooses whom this host beats to.
 func (c *core) retarget() {
 	chosen := map[string]bool{}
-	for _, name := range ringPeers(c.self.Name, c.view.In(c.self.FailureDomain)) {
+	near := map[string]bool{}
+	for i, name := range ringPeers(c.self.Name, c.view.In(c.self.FailureDomain)) {
 		chosen[name] = true
+		near[name] = i < nearPeers
 	}
 	for _, domain := range c.view.Domains() {
 		if domain == c.self.FailureDomain {
@@ -125,7 +131,7 @@
 		if chosen[name] && !m.target {
 			m.lastHeard = max(m.lastHeard, m.since)
 		}
-		m.target = chosen[name]
+		m.target, m.near = chosen[name], near[name]
 	}
 }
 
--- a/internal/share/hosts/wire.go
+++ b/internal/share/hosts/wire.go
@@ -17,6 +17,8 @@
 // something of this host is new. Name is short and the same on all hosts.
 type Digest struct {
 	Name string
+	// FarOnly sends it to other failure domains alone.
+	FarOnly bool
 	// Read returns what to send, nil for nothing.
 	Read func() []byte
 	// Seen takes what a peer sent. It must not block.
@@ -106,9 +108,14 @@
 }
 
 // readDigests is called without the lock, so that Read may use the node.
-func (n *Node) readDigests() []digestBody {
+func (n *Node) readDigests(to string) []digestBody {
+	peer, ok := n.View().Find(to)
+	far := ok && peer.FailureDomain != n.Self.FailureDomain
 	var bodies []digestBody
 	for _, d := range n.digests {
+		if d.FarOnly && !far {
+			continue
+		}
 		if body := d.Read(); body != nil {
 			bodies = append(bodies, digestBody{Name: d.Name, Body: body})
 		}
@@ -133,7 +140,7 @@
 		return nil, err
 	}
 	n.pass(from.Name, b.Digests)
-	digests := n.readDigests()
+	digests := n.readDigests(from.Name)
 	n.mu.Lock()
 	reply := n.core.answer(n.Clock.Now(), from, &b)
 	n.settle()
@@ -143,7 +150,7 @@
 
 // sendBeat carries out one heartbeat.
 func (n *Node) sendBeat(ctx context.Context, peer string) {
-	digests := n.readDigests()
+	digests := n.readDigests(peer)
 	n.mu.Lock()
 	b, ok := n.core.opening(peer)
 	n.mu.Unlock()
--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -80,7 +80,7 @@
 // load orders groups: what waits less what is free. The request placed now is
 // added to it until the next digest comes.
 func (c *core) load(now clock.Millis, name string) int {
-	k, ok := c.digests[name]
+	k, ok := c.digests[numberOf(name)]
 	if !ok || now-k.at > digestLife {
 		return 0
 	}
@@ -97,12 +97,12 @@
 	}
 	a.keeper = keeper
 	a.state, a.since, a.retryAt, a.asked = stateAsking, now, 0, now
-	c.markActive(keeper, a.group)
+	c.markActive(keeper, a.number())
 	p := c.to(keeper)
-	p.Asks = append(p.Asks, newAsk(now, a.group, a.seq, a.request))
-	if k, ok := c.digests[a.group]; ok {
+	p.Asks = append(p.Asks, newAsk(now, a.number(), a.seq, a.request))
+	if k, ok := c.digests[a.number()]; ok {
 		k.digest.FreeSlots--
-		c.digests[a.group] = k
+		c.digests[a.number()] = k
 	}
 }
 
@@ -112,15 +112,15 @@
 		c.alone[a.group].cancel(now, a.request.ID)
 		return
 	}
-	c.giveBack(a.keeper, a.group, a.seq)
+	c.giveBack(a.keeper, a.number(), a.seq)
 }
 
-func (c *core) markActive(keeper, group string) {
+func (c *core) markActive(keeper string, group groupNumber) {
 	p := c.peer(keeper)
 	p.active[group] = p.round
 }
 
-func (c *core) giveBack(keeper, group string, seq uint64) {
+func (c *core) giveBack(keeper string, group groupNumber, seq uint64) {
 	if _, ok := c.view.Find(keeper); !ok {
 		return
 	}
@@ -138,7 +138,7 @@
 		c.digests[m.Group] = known{digest: m.Digest, at: now}
 	}
 	a, ok := c.asks[m.Seq]
-	expected := ok && a.keeper == from && a.group == m.Group
+	expected := ok && a.keeper == from && a.number() == m.Group
 	if expected && a.state == stateRunning && a.server == m.Server {
 		return
 	}
@@ -231,10 +231,10 @@
 		g.release(now, d)
 	}
 	if keeper, ok := c.keeperOf(a.group); ok {
-		c.markActive(keeper, a.group)
+		c.markActive(keeper, a.number())
 		p := c.to(keeper)
 		p.Dones = append(p.Dones, doneMessage{
-			Group: a.group, Outcome: string(d.Outcome), Progress: newProgress(a.seq, d.Progress),
+			Group: a.number(), Outcome: string(d.Outcome), Progress: newProgress(a.seq, d.Progress),
 		})
 	}
 	c.collect(now)
@@ -280,7 +280,7 @@
 		return false
 	}
 	for _, g := range c.groups(a.request.Service, c.domain) {
-		k, ok := c.digests[g.Name]
+		k, ok := c.digests[numberOf(g.Name)]
 		fresh := ok && now-k.at <= freshLife
 		if g.Name == a.group || !fresh || k.digest.FreeSlots <= 0 || !g.serves(a.request.Model) {
 			continue
@@ -298,7 +298,7 @@
 func (c *core) reassert(now clock.Millis, a *ask) {
 	a.asked = now
 	p := c.to(a.keeper)
-	p.Asks = append(p.Asks, newAsk(now, a.group, a.seq, a.request))
+	p.Asks = append(p.Asks, newAsk(now, a.number(), a.seq, a.request))
 }
 
 // suspect takes a keeper for lost that has said nothing since it was asked.
--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 
@@ -17,10 +18,14 @@
 	AskWait     = 150 * clock.Millis(1) // an ask without any answer
 	LostWait    = 500 * clock.Millis(1) // reports without any answer
 	ReportEvery = 200 * clock.Millis(1)
-	retryWait   = 25 * clock.Millis(1) // after the answer that the peer is no keeper
-	rebuildWait = 400 * clock.Millis(1)
-	serversWait = 100 * clock.Millis(1) // between looks at the list of servers
-	digestLife  = 2 * clock.Second
+	// reportSpacing is between two reports of different hosts to one keeper, up
+	// to reportMost between those of one host.
+	reportSpacing = 14 * clock.Millis(1)
+	reportMost    = clock.Second
+	retryWait     = 25 * clock.Millis(1) // after the answer that the peer is no keeper
+	rebuildWait   = 400 * clock.Millis(1)
+	serversWait   = 100 * clock.Millis(1) // between looks at the list of servers
+	digestLife    = 2 * clock.Second
 	// switchWait is how long a request waits in one group before it may go to
 	// another one that had free slots within freshLife.
 	switchWait = 50 * clock.Millis(1)
@@ -80,6 +85,8 @@
 	first  bool
 }
 
+func (a *ask) number() groupNumber { return numberOf(a.group) }
+
 // result ends the wait of an ask.
 type result struct {
 	id      string
@@ -93,14 +100,15 @@
 	reported clock.Millis // when the last report was sent
 	unheard  clock.Millis // since when reports wait for an answer, 0 for none
 	lost     bool
+	pace     clock.Millis // between reports
 	// incarnation is the one that was last heard.
 	incarnation int64
-	whole       map[string]bool // groups whose whole list it wants
-	round       uint64          // the number of the last report
+	whole       map[groupNumber]bool // groups whose whole list it wants
+	round       uint64               // the number of the last report
 	// active holds the groups of which the keeper may hold something of this
 	// host, with the round in which that was last so. They are reported until
 	// the keeper has confirmed a later report: a lost Done frees its slot then.
-	active map[string]uint64
+	active map[groupNumber]uint64
 }
 
 // known is the last digest of a group.
@@ -123,9 +131,9 @@
 	lastSeq   uint64
 	peers     map[string]*peerState
 	alone     map[string]*decider
-	digests   map[string]known
+	digests   map[groupNumber]known
 	spillBy   map[string]*spill.Policy
-	desks     map[string]*desk
+	desks     map[groupNumber]*desk
 	// callers is when each host was last heard as an asker.
 	callers map[string]clock.Millis
 	out     map[string]*packet
@@ -139,8 +147,8 @@
 	return &core{
 		self: self, domain: domain, groupSize: groupSize, seams: s,
 		asks: map[uint64]*ask{}, byID: map[string]*ask{}, peers: map[string]*peerState{},
-		alone: map[string]*decider{}, digests: map[string]known{}, spillBy: map[string]*spill.Policy{},
-		desks: map[string]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
+		alone: map[string]*decider{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
+		desks: map[groupNumber]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
 		tally: func(string) {},
 	}
 }
@@ -171,7 +179,7 @@
 func (c *core) peer(name string) *peerState {
 	p, ok := c.peers[name]
 	if !ok {
-		p = &peerState{whole: map[string]bool{}, active: map[string]uint64{}}
+		p = &peerState{whole: map[groupNumber]bool{}, active: map[groupNumber]uint64{}}
 		c.peers[name] = p
 	}
 	return p
@@ -277,7 +285,7 @@
 			continue
 		}
 		a.keeper = keeper
-		c.reportWhole(keeper, a.group)
+		c.reportWhole(keeper, a.number())
 	}
 	for name := range c.peers {
 		if _, ok := v.Find(name); !ok {
@@ -318,8 +326,8 @@
 
 // collect turns the decisions of all sched.Groups into verdicts and results.
 func (c *core) collect(now clock.Millis) {
-	for _, name := range sortedKeys(c.desks) {
-		c.collectDesk(now, c.desks[name])
+	for _, number := range sortedKeys(c.desks) {
+		c.collectDesk(now, c.desks[number])
 	}
 	for _, name := range sortedKeys(c.alone) {
 		for _, d := range c.alone[name].take() {
@@ -328,8 +336,8 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
--- a/internal/share/keep/desk.go
+++ b/internal/share/keep/desk.go
@@ -26,6 +26,7 @@
 // desk is a group that this host keeps.
 type desk struct {
 	group    group
+	number   groupNumber
 	sched    *decider
 	version  uint64
 	held     map[string]*held
@@ -55,10 +56,10 @@
 func (c *core) openDesk(now clock.Millis, g group) *desk {
 	settings, version := c.seams.settings(g.Service)
 	d := &desk{
-		group: g, sched: newDecider(settings, c.seams.watch), version: version, held: map[string]*held{},
+		group: g, number: numberOf(g.Name), sched: newDecider(settings, c.seams.watch), version: version, held: map[string]*held{},
 		differs: map[string]int{}, awaiting: map[string]bool{}, until: now + rebuildWait,
 	}
-	c.desks[g.Name] = d
+	c.desks[d.number] = d
 	c.tally("Opened")
 	for _, h := range c.view.In(g.Domain) {
 		d.awaiting[h.Name] = true
@@ -98,15 +99,15 @@
 // reviewDesks closes the desks that belong to another host and opens those
 // that this host has won.
 func (c *core) reviewDesks(now clock.Millis) {
-	for _, name := range sortedKeys(c.desks) {
-		if keeper, ok := c.keeperOf(name); !ok || keeper != c.self.Name {
-			c.closeDesk(c.desks[name])
+	for _, number := range sortedKeys(c.desks) {
+		if keeper, ok := c.keeperOf(c.desks[number].group.Name); !ok || keeper != c.self.Name {
+			c.closeDesk(c.desks[number])
 		}
 	}
 	for _, service := range c.seams.services() {
 		for _, g := range c.groups(service, c.domain) {
 			keeper, ok := c.keeperOf(g.Name)
-			if _, has := c.desks[g.Name]; ok && !has && keeper == c.self.Name {
+			if _, has := c.desks[numberOf(g.Name)]; ok && !has && keeper == c.self.Name {
 				c.openDesk(now, g)
 			}
 		}
@@ -115,15 +116,15 @@
 
 // closeDesk sends those who wait to the new keeper.
 func (c *core) closeDesk(d *desk) {
-	delete(c.desks, d.group.Name)
+	delete(c.desks, d.number)
 	c.tally("Closed")
 	for _, id := range sortedKeys(d.held) {
 		if h := d.held[id]; h.server == "" {
-			c.say(h.from.Name, verdictMessage{Group: d.group.Name, Seq: h.seq, Verdict: string(verdictNotKeeper)})
+			c.say(h.from.Name, verdictMessage{Group: d.number, Seq: h.seq, Verdict: string(verdictNotKeeper)})
 		}
 	}
 	for _, e := range d.early {
-		c.say(e.from.Name, verdictMessage{Group: d.group.Name, Seq: e.ask.Seq, Verdict: string(verdictNotKeeper)})
+		c.say(e.from.Name, verdictMessage{Group: d.number, Seq: e.ask.Seq, Verdict: string(verdictNotKeeper)})
 	}
 }
 
@@ -178,8 +179,8 @@
 		c.dropSilent(now)
 		c.closeAlone(now)
 	}
-	for _, name := range sortedKeys(c.desks) {
-		d := c.desks[name]
+	for _, number := range sortedKeys(c.desks) {
+		d := c.desks[number]
 		if !d.open && (now >= d.until || len(d.awaiting) == 0) {
 			c.finish(now, d)
 		}
@@ -190,16 +191,16 @@
 }
 
 func (c *core) refreshDesks(now clock.Millis) {
-	for _, name := range sortedKeys(c.desks) {
-		d := c.desks[name]
+	for _, number := range sortedKeys(c.desks) {
+		d := c.desks[number]
 		settings, version := c.seams.settings(d.group.Service)
 		if version != d.version {
 			d.version = version
 			d.sched.setSettings(now, settings)
 		}
-		g, ok := c.groupNamed(name)
+		g, ok := c.groupNamed(d.group.Name)
 		if !ok {
-			g = group{Name: name, Service: d.group.Service, Domain: d.group.Domain}
+			g = group{Name: d.group.Name, Service: d.group.Service, Domain: d.group.Domain}
 		}
 		if slices.EqualFunc(g.Servers, d.group.Servers, sameServer) {
 			continue
@@ -237,7 +238,7 @@
 	if _, ok := d.held[id]; !ok {
 		d.held[id] = &held{from: from, seq: m.Seq, id: id}
 	}
-	d.sched.offer(now, m.request(at, id, from.Name))
+	d.sched.offer(now, m.request(at, d.group.Service, id, from.Name))
 	c.collectDesk(now, d)
 	if h, ok := d.held[id]; ok && h.server == "" {
 		c.say(from.Name, verdictMessage{
@@ -256,7 +257,7 @@
 		d.sched.cancel(now, id)
 	}
 	d.held[id] = &held{from: from, seq: r.Ask.Seq, id: id, server: r.Server, granted: now}
-	d.sched.adopt(now, r.Ask.request(at, id, from.Name), r.Server)
+	d.sched.adopt(now, r.Ask.request(at, d.group.Service, id, from.Name), r.Server)
 }
 
 // collectDesk passes the group's decisions on.
@@ -271,7 +272,7 @@
 		if !ok {
 			continue
 		}
-		m := verdictMessage{Group: d.group.Name, Seq: h.seq, Digest: digest}
+		m := verdictMessage{Group: d.number, Seq: h.seq, Digest: digest}
 		if decision.Kind == sched.DecisionGrant {
 			h.server, h.granted = decision.Server, now
 			m.Verdict, m.Server, m.Floor = string(verdictGrant), decision.Server, decision.Floor
--- a/internal/share/keep/doc.go
+++ b/internal/share/keep/doc.go
@@ -33,6 +33,7 @@
 //	}
 //	n.Prepare()                      // before the link starts
 //	members.OnChange(n.ViewChanged)  // keepers follow the membership
+//	members.AddDigest(hosts.Digest{Name: "Keep", FarOnly: true, Read: n.Digest, Seen: n.DigestSeen})
 //	go n.Run(ctx)
 //
 //	grant, refusal, err := n.Ask(ctx, request)
--- a/internal/share/keep/groups.go
+++ b/internal/share/keep/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sort"
 	"strings"
@@ -21,6 +22,15 @@
 	Servers []sched.Server
 }
 
+// groupNumber stands for a group's name in messages, to keep them short.
+type groupNumber uint32
+
+func numberOf(name string) groupNumber {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name))
+	return groupNumber(sum.Sum32())
+}
+
 // split divides the servers of a service in a failure domain into groups of
 // nearly the same size, in the order of their names. Ten servers at a size of
 // eight make two groups of five.
--- a/internal/share/keep/keep_test.go
+++ b/internal/share/keep/keep_test.go
@@ -5,7 +5,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/plat/table"
+	"siskinsaddle/internal/policy/sched"
 	"siskinsaddle/internal/share/hosts"
+	"siskinsaddle/internal/share/link"
 )
 
 const groupName = "canvas-llm/prairie-a/0"
@@ -144,3 +150,73 @@
 	r.burst("b", 30, all...)
 	r.Assert(r.finished(120), qt.Equals, serverSlots)
 }
+
+func (r *rig) awaitViews(size int, names ...string) {
+	for _, name := range names {
+		m := r.members[name]
+		for have := 0; have != size; <-m.Clock.After(5) {
+			m.mu.Lock()
+			have = len(m.core.view.Hosts())
+			m.mu.Unlock()
+		}
+	}
+}
+
+// TestMembershipMovesTheKeeper kills the keeper of a running load; nobody tells
+// the others but their heartbeats.
+func TestMembershipMovesTheKeeper(t *testing.T) {
+	r := newRig(t, 0)
+	store := table.NewMemory()
+	all := numbered(4)
+	for _, name := range all {
+		r.startWhole(name, store)
+	}
+	r.awaitViews(4, all...)
+	lost := keeperAmong(all)
+	rest := without(all, lost)
+	r.burst("a", 60, rest...)
+	r.awaitAnswers(20)
+	r.members[lost].crash()
+	delete(r.members, lost)
+	most := r.finished(180)
+	t.Logf("at most %d ran on a server of %d slots", most, serverSlots)
+	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
+	r.awaitViews(3, rest...)
+	r.burst("b", 30, rest...)
+	r.Assert(r.finished(90), qt.Equals, serverSlots, qt.Commentf("%v", rest))
+}
+
+// BenchmarkKeeper measures what one request costs its keeper: the ask, the
+// grant and the end, with decoding and encoding.
+func BenchmarkKeeper(b *testing.B) {
+	r := &rig{C: qt.New(b)}
+	n := &Node{
+		Name: "host-0", FailureDomain: "prairie-a", Services: func() []string { return []string{"canvas-llm"} },
+		Servers: testServers, Settings: testSettings, Link: &link.Node{}, Counters: count.NewSet(), Log: logs.Discard(), Clock: clock.System(),
+	}
+	n.Prepare()
+	n.ViewChanged(hosts.NewView(1, named(1, "", "host-0")...))
+	asker := link.Peer{Name: "host-1", Incarnation: 1}
+	ask := askMessage{Group: numberOf(groupName), Class: "class-1", Workspace: "stall", Due: 300, Left: 10_000, PredictedTokens: 10}
+	send := func(now clock.Millis, p packet) {
+		body, err := link.Encode(&p)
+		r.Assert(err, qt.IsNil)
+		var got packet
+		r.Assert(link.Decode(body, &got), qt.IsNil)
+		n.core.receive(now, asker, &got)
+		for _, answer, ok := n.core.take(); ok; _, answer, ok = n.core.take() {
+			_, err := link.Encode(answer)
+			r.Assert(err, qt.IsNil)
+		}
+	}
+	n.core.tick(1000)
+	for i := range b.N {
+		now := 1000 + clock.Millis(i)
+		ask.Seq = uint64(i + 1)
+		send(now, packet{Asks: []askMessage{ask}})
+		send(now, packet{Dones: []doneMessage{{
+			Group: ask.Group, Outcome: string(sched.OutcomeDone), Progress: progressMessage{Seq: ask.Seq, Tokens: 10, FirstToken: 5},
+		}}})
+	}
+	r.Assert(n.core.desks[ask.Group].held, qt.HasLen, 0)
+}
--- a/internal/share/keep/packet.go
+++ b/internal/share/keep/packet.go
@@ -29,9 +29,8 @@
 // askMessage describes a request with remaining times. Seq is the asker's own
 // number for it.
 type askMessage struct {
-	Group           string
+	Group           groupNumber
 	Seq             uint64
-	Service         string
 	Class           string
 	Workspace       string
 	Model           string
@@ -47,7 +46,7 @@
 
 // doneMessage ends an ask, whether it waits or runs.
 type doneMessage struct {
-	Group    string
+	Group    groupNumber
 	Outcome  string
 	Progress progressMessage
 }
@@ -62,7 +61,7 @@
 // reportMessage sums up what a host runs and waits for in a group. Runs is the
 // whole list, where the keeper wanted it.
 type reportMessage struct {
-	Group    string
+	Group    groupNumber
 	Round    uint64
 	Hash     uint64
 	Progress []progressMessage
@@ -78,7 +77,7 @@
 // backMessage answers the report of a round. Same tells that the keeper holds
 // what the host runs.
 type backMessage struct {
-	Group     string
+	Group     groupNumber
 	Round     uint64
 	Same      bool
 	Digest    sched.Digest
@@ -92,7 +91,7 @@
 }
 
 type rebuiltMessage struct {
-	Group string
+	Group groupNumber
 	Runs  []runMessage
 }
 
@@ -107,7 +106,7 @@
 )
 
 type verdictMessage struct {
-	Group      string
+	Group      groupNumber
 	Seq        uint64
 	Verdict    string
 	Server     string
@@ -118,9 +117,9 @@
 }
 
 // newAsk translates a request into remaining times.
-func newAsk(now clock.Millis, group string, seq uint64, r sched.Request) askMessage {
+func newAsk(now clock.Millis, group groupNumber, seq uint64, r sched.Request) askMessage {
 	return askMessage{
-		Group: group, Seq: seq, Service: r.Service, Class: r.Class, Workspace: r.Workspace, Model: r.Model,
+		Group: group, Seq: seq, Class: r.Class, Workspace: r.Workspace, Model: r.Model,
 		Age: now - r.Arrived, Due: r.Deadline - now, Left: r.GiveUp - now,
 		PromptTokens: r.PromptTokens, PredictedTokens: r.PredictedTokens,
 		Prefix: r.Prefix, Spilled: r.Spilled, Avoid: r.Avoid,
@@ -128,9 +127,9 @@
 }
 
 // request translates an ask into points in time on this host's clock.
-func (m askMessage) request(now clock.Millis, id, host string) sched.Request {
+func (m askMessage) request(now clock.Millis, service, id, host string) sched.Request {
 	return sched.Request{
-		ID: id, Host: host, Service: m.Service, Class: m.Class, Workspace: m.Workspace, Model: m.Model,
+		ID: id, Host: host, Service: service, Class: m.Class, Workspace: m.Workspace, Model: m.Model,
 		Arrived: now - m.Age, Deadline: now + m.Due, GiveUp: now + m.Left,
 		PromptTokens: m.PromptTokens, PredictedTokens: m.PredictedTokens,
 		Prefix: m.Prefix, Spilled: m.Spilled, Avoid: m.Avoid,
--- a/internal/share/keep/report.go
+++ b/internal/share/keep/report.go
@@ -8,7 +8,8 @@
 // tickPeers sends the reports that are due and finds keepers that no longer
 // answer them.
 func (c *core) tickPeers(now clock.Millis) {
-	held := map[string]map[string]*reportMessage{}
+	held := map[string]map[groupNumber]*reportMessage{}
+	c.setPace()
 	for _, a := range c.sorted() {
 		if keeper, ok := c.keeperOf(a.group); ok {
 			c.addReport(now, keeper, held, a)
@@ -18,8 +19,8 @@
 		c.addActive(now, name, p, held)
 		// A lost keeper is reported to although nothing is held there, so that
 		// its answer shows that it is back.
-		if p.lost && held[name] == nil && now-p.reported >= ReportEvery {
-			held[name] = map[string]*reportMessage{}
+		if p.lost && held[name] == nil && now-p.reported >= p.pace {
+			held[name] = map[groupNumber]*reportMessage{}
 		}
 	}
 	for _, keeper := range sortedKeys(held) {
@@ -27,15 +28,34 @@
 	}
 }
 
+// setPace sets how often each keeper is reported to: ReportEvery while
+// something waits there or it is lost. Otherwise the reports of all hosts of
+// the domain together are the same number a second however many hosts there
+// are, since that is what the keeper learns from.
+func (c *core) setPace() {
+	calm := max(ReportEvery, min(reportMost, clock.Millis(len(c.view.In(c.domain)))*reportSpacing))
+	for _, p := range c.peers {
+		p.pace = calm
+		if p.lost {
+			p.pace = ReportEvery
+		}
+	}
+	for _, a := range c.asks {
+		if a.state == stateAsking || a.state == stateQueued {
+			c.peer(a.keeper).pace = ReportEvery
+		}
+	}
+}
+
 // addActive adds an empty report for each group in which nothing is left, until
 // the keeper confirms that.
-func (c *core) addActive(now clock.Millis, name string, p *peerState, held map[string]map[string]*reportMessage) {
-	if now-p.reported < ReportEvery {
+func (c *core) addActive(now clock.Millis, name string, p *peerState, held map[string]map[groupNumber]*reportMessage) {
+	if now-p.reported < p.pace {
 		return
 	}
 	for group := range p.active {
 		if held[name] == nil {
-			held[name] = map[string]*reportMessage{}
+			held[name] = map[groupNumber]*reportMessage{}
 		}
 		if held[name][group] == nil {
 			held[name][group] = &reportMessage{Group: group, Whole: p.whole[group]}
@@ -44,25 +64,25 @@
 }
 
 // addReport adds one request to the report of its group, if one is due.
-func (c *core) addReport(now clock.Millis, keeper string, held map[string]map[string]*reportMessage, a *ask) {
+func (c *core) addReport(now clock.Millis, keeper string, held map[string]map[groupNumber]*reportMessage, a *ask) {
 	p := c.peer(keeper)
-	if now-p.reported < ReportEvery {
+	if now-p.reported < p.pace {
 		return
 	}
 	if held[keeper] == nil {
-		held[keeper] = map[string]*reportMessage{}
+		held[keeper] = map[groupNumber]*reportMessage{}
 	}
-	m := held[keeper][a.group]
+	m := held[keeper][a.number()]
 	if m == nil {
-		m = &reportMessage{Group: a.group, Whole: p.whole[a.group]}
-		held[keeper][a.group] = m
+		m = &reportMessage{Group: a.number(), Whole: p.whole[a.number()]}
+		held[keeper][a.number()] = m
 	}
 	if a.state != stateRunning {
 		return
 	}
 	m.Hash += seqHash(a.seq)
 	if m.Whole {
-		m.Runs = append(m.Runs, runMessage{Ask: newAsk(now, a.group, a.seq, a.request), Server: a.server})
+		m.Runs = append(m.Runs, runMessage{Ask: newAsk(now, a.number(), a.seq, a.request), Server: a.server})
 	}
 	if a.worthReporting(now) {
 		m.Progress = append(m.Progress, newProgress(a.seq, a.progress))
@@ -87,7 +107,7 @@
 	return x ^ x>>29
 }
 
-func (c *core) report(now clock.Millis, keeper string, reports map[string]*reportMessage) {
+func (c *core) report(now clock.Millis, keeper string, reports map[groupNumber]*reportMessage) {
 	p := c.peer(keeper)
 	p.reported = now
 	p.round++
@@ -102,16 +122,16 @@
 	if len(reports) == 0 {
 		out.Reports = append(out.Reports, reportMessage{})
 	}
-	for _, name := range sortedKeys(reports) {
-		reports[name].Round = p.round
-		out.Reports = append(out.Reports, *reports[name])
-		delete(p.whole, name)
+	for _, number := range sortedKeys(reports) {
+		reports[number].Round = p.round
+		out.Reports = append(out.Reports, *reports[number])
+		delete(p.whole, number)
 	}
 }
 
 // onBack takes the answer to a report.
 func (c *core) onBack(now clock.Millis, from string, m backMessage) {
-	if m.Group == "" {
+	if m.Group == 0 {
 		return
 	}
 	if m.Digest != (sched.Digest{}) {
@@ -128,7 +148,8 @@
 
 // onRebuild answers a new keeper with what this host runs on its servers.
 func (c *core) onRebuild(now clock.Millis, from string, m rebuildMessage) {
-	answer := rebuiltMessage{Group: m.Group}
+	number := numberOf(m.Group)
+	answer := rebuiltMessage{Group: number}
 	servers := map[string]bool{}
 	for _, s := range m.Servers {
 		servers[s] = true
@@ -136,7 +157,7 @@
 	for _, a := range c.sorted() {
 		if a.state == stateRunning && servers[a.server] {
 			a.group = m.Group
-			answer.Runs = append(answer.Runs, runMessage{Ask: newAsk(now, m.Group, a.seq, a.request), Server: a.server})
+			answer.Runs = append(answer.Runs, runMessage{Ask: newAsk(now, number, a.seq, a.request), Server: a.server})
 		}
 	}
 	p := c.to(from)
@@ -144,7 +165,7 @@
 }
 
 // reportWhole sends a keeper the whole list with the next tick.
-func (c *core) reportWhole(keeper, group string) {
+func (c *core) reportWhole(keeper string, group groupNumber) {
 	if keeper == "" {
 		return
 	}
@@ -171,7 +192,7 @@
 		}
 		a.group = name
 		if keeper, ok := c.keeperOf(name); ok {
-			c.reportWhole(keeper, name)
+			c.reportWhole(keeper, numberOf(name))
 		}
 	}
 }
--- a/internal/share/keep/rig_test.go
+++ b/internal/share/keep/rig_test.go
@@ -13,6 +13,7 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/fakes/proxy"
+	"siskinsaddle/internal/plat/table"
 	"siskinsaddle/internal/policy/audit"
 	"siskinsaddle/internal/policy/sched"
 	"siskinsaddle/internal/share/hosts"
@@ -61,45 +62,76 @@
 
 // start starts a host whose peers reach it through a relay.
 func (r *rig) start(name string, incarnation int64) *member {
+	m, l := r.open(name)
+	m.Incarnation, l.Incarnation = incarnation, incarnation
+	l.Address = func(peer string) (string, bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		to, ok := r.members[peer]
+		return to.relay.Addr(), ok
+	}
+	relay, err := proxy.New(l.Addr())
+	r.Assert(err, qt.IsNil)
+	m.relay = relay
+	m.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.run(ctx, cancel, m, l.Run, m.Run)
+	return m
+}
+
+// startWhole starts a host with its own membership.
+func (r *rig) startWhole(name string, store table.Store) {
+	m, l := r.open(name)
+	g := &hosts.Node{
+		Self: hosts.Host{Name: name, FailureDomain: "prairie-a", Address: l.Addr()},
+		Link: l, Table: store, Clock: m.Clock, Log: m.Log, Counters: m.Counters,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Incarnation = g.Register(ctx)
+	m.Incarnation = l.Incarnation
+	l.Address, l.Admit, l.Connected = g.Address, g.Admit, g.Connected
+	m.Prepare()
+	g.OnChange(m.ViewChanged)
+	r.Assert(g.Prepare(), qt.IsNil)
+	r.run(ctx, cancel, m, l.Run, m.Run, g.Run)
+}
+
+func (r *rig) open(name string) (*member, *link.Node) {
 	system, counters := clock.System(), count.NewSet()
 	l := &link.Node{
-		Name: name, Incarnation: incarnation, Listen: "127.0.0.1:0", Secret: []byte("a secret of the tests, long enough"),
+		Name: name, Listen: "127.0.0.1:0", Secret: []byte("a secret of the tests, long enough"),
 		Clock: system, Log: logs.Discard(), Counters: counters,
-		Address: func(peer string) (string, bool) {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			m, ok := r.members[peer]
-			return m.relay.Addr(), ok
-		},
 	}
 	r.Assert(l.Bind(), qt.IsNil)
-	relay, err := proxy.New(l.Addr())
-	r.Assert(err, qt.IsNil)
-	m := &member{relay: relay, Node: &Node{
-		Name: name, Incarnation: incarnation, FailureDomain: "prairie-a", Link: l,
+	return &member{Node: &Node{
+		Name: name, FailureDomain: "prairie-a", Link: l,
 		Services: func() []string { return []string{"canvas-llm"} }, Servers: testServers, Settings: testSettings,
 		Clock: system, Log: logs.Discard(), Counters: counters, Watch: r.watch,
-	}}
-	m.Prepare()
+	}}, l
+}
+
+func (r *rig) run(ctx context.Context, cancel func(), m *member, parts ...func(context.Context) error) {
 	r.mu.Lock()
-	r.members[name] = m
+	r.members[m.Name] = m
 	r.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	r.Assert(l.Start(ctx), qt.IsNil)
-	done := make(chan error, 2)
-	go func() { done <- l.Run(ctx) }()
-	go func() { done <- m.Run(ctx) }()
+	r.Assert(m.Link.Start(ctx), qt.IsNil)
+	done := make(chan error, len(parts))
+	for _, part := range parts {
+		go func() { done <- part(ctx) }()
+	}
 	m.crash = sync.OnceFunc(func() {
 		cancel()
-		relay.Close()
-		r.Check(<-done, qt.IsNil)
-		r.Check(<-done, qt.IsNil)
+		if m.relay != nil {
+			m.relay.Close()
+		}
+		for range parts {
+			r.Check(<-done, qt.IsNil)
+		}
 		m.mu.Lock()
 		m.core.desks = nil
 		m.mu.Unlock()
 	})
 	r.Cleanup(m.crash)
-	return m
 }
 
 func testServers(_, domain string) []sched.Server {
--- a/internal/share/keep/spill.go
+++ b/internal/share/keep/spill.go
@@ -32,7 +32,7 @@
 			for _, s := range g.Servers {
 				d.Slots += s.Slots
 			}
-			k, ok := c.digests[g.Name]
+			k, ok := c.digests[numberOf(g.Name)]
 			if !ok || now-k.at > digestLife {
 				continue
 			}
--- a/internal/tools/cohere/cohere_test.go
+++ b/internal/tools/cohere/cohere_test.go
@@ -28,7 +28,8 @@
 		{Way: WayAlone},
 		{Way: WayServer},
 		{Way: WayGroup},
-		{Way: WayWhole}, {Way: WayGroup, BundleWait: 1},
+		{Way: WayWhole},
+		{Way: WayGroup, BundleWait: 1},
 		{Way: WayGroup, BundleWait: 2},
 	} {
 		o.Hosts, o.Servers, o.Slots, o.Seed, o.Seconds = 7, 10, 8, 1, 6
