A host that starts holds no duty before it has learnt of the others

With only itself in its view it won every group and could have granted from slots that others use. Views now say whether the host has joined.

--- a/internal/share/hosts/core.go
+++ b/internal/share/hosts/core.go
@@ -63,6 +63,9 @@
 	farPeers = 2
 	// maxAttempts bounds the dials of one tick to hosts not known alive.
 	maxAttempts = 4
+	// JoinWait is how long a host that starts waits for an answer of the listed
+	// hosts before it takes itself for the only one.
+	JoinWait = clock.Second
 	// maxRumors is the most news on one beat or reply.
 	maxRumors = 10
 	// rumorFactor times the binary logarithm of the hosts is how often news is
@@ -116,7 +119,9 @@
 	view    View
 	hash    uint64
 	synced  clock.Millis // when a whole view was last asked for
-	joined  bool         // it was asked for since the start
+	asked   bool         // it was asked for since the start
+	joined  bool         // as in View
+	listed  clock.Millis // when the sources were first read, 0 for not yet
 	actions []action
 }
 
@@ -152,6 +157,9 @@
 // list takes the hosts that the sources name. Hosts that are not known alive
 // are tried in the ticks that follow.
 func (c *core) list(now clock.Millis, listed []Host) {
+	if c.listed == 0 {
+		c.listed = now
+	}
 	for _, m := range c.members {
 		m.listed = false
 	}
@@ -210,6 +218,19 @@
 	c.tell(now, h)
 }
 
+// whole takes all that a peer holds.
+func (c *core) whole(now clock.Millis, hosts []Host) {
+	for _, h := range hosts {
+		c.tell(now, h)
+	}
+	c.join()
+}
+
+func (c *core) join() {
+	c.changed = c.changed || !c.joined
+	c.joined = true
+}
+
 // refute contradicts news that this host is suspected or dead.
 func (c *core) refute(h Host) {
 	ours := h.Incarnation == c.self.Incarnation && h.Refutation >= c.self.Refutation
--- a/internal/share/hosts/core_test.go
+++ b/internal/share/hosts/core_test.go
@@ -69,9 +69,7 @@
 			c.closing(g.now, a.Peer, &reply)
 		case actionSync:
 			if open {
-				for _, h := range peer.view.Hosts() {
-					c.tell(g.now, h)
-				}
+				c.whole(g.now, peer.view.Hosts())
 			}
 		}
 		c.refresh()
@@ -106,6 +104,7 @@
 		g.run(clock.Second)
 		for name, core := range g.cores {
 			c.Assert(core.view.hosts, qt.HasLen, size+3, qt.Commentf("%s of %d", name, size))
+			c.Assert(core.view.Joined, qt.IsTrue)
 			c.Assert(len(ringPeers(name, core.view.In("prairie-a"))) <= FanOut, qt.IsTrue)
 		}
 
@@ -141,6 +140,17 @@
 	}
 }
 
+func TestJoining(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(domainOf(3, "prairie-a")...)
+	g.cut = func(from, to string) bool { return from == "host-00" || to == "host-00" }
+	g.run(JoinWait)
+	c.Assert(g.cores["host-01"].view.Joined, qt.IsTrue)
+	c.Assert(g.cores["host-00"].view.Joined, qt.IsFalse)
+	g.run(100)
+	c.Assert(g.cores["host-00"].view.Joined, qt.IsTrue, qt.Commentf("it takes itself for the only one"))
+}
+
 func TestOneCutPathKillsNobody(t *testing.T) {
 	c := qt.New(t)
 	g := newGroup(domainOf(7, "prairie-a")...)
--- a/internal/share/hosts/tick.go
+++ b/internal/share/hosts/tick.go
@@ -27,6 +27,9 @@
 		}
 		c.tickKnown(now, m)
 	}
+	if c.listed > 0 && now-c.listed >= JoinWait {
+		c.join()
+	}
 	c.refresh()
 }
 
@@ -93,6 +96,7 @@
 		}
 	}
 	c.view = newView(c.number, hosts)
+	c.view.Joined = c.joined
 	c.hash = hashOf(c.view.hosts)
 	c.retarget()
 }
@@ -235,8 +239,8 @@
 		m.differs = now
 	}
 	overdue := now-m.differs >= syncAfter && now-c.synced >= syncEvery
-	if overdue || !c.joined {
-		c.joined = true
+	if overdue || !c.asked {
+		c.asked = true
 		c.synced = now
 		m.differs = 0
 		c.do(actionSync, name)
--- a/internal/share/hosts/view.go
+++ b/internal/share/hosts/view.go
@@ -49,6 +49,10 @@
 	// Number rises with each change on this host. Numbers of different hosts
 	// do not compare.
 	Number uint64
+	// Joined tells that the host has learnt of the others: a peer has sent its
+	// whole view, or none of the listed hosts answered for JoinWait. Before
+	// that, a host must not believe that duties are its own.
+	Joined bool
 	hosts  []Host // by name, without the dead
 }
 
@@ -60,7 +64,9 @@
 
 // NewView makes a view by hand, for the tests of packages that take one.
 func NewView(number uint64, hosts ...Host) View {
-	return newView(number, append([]Host(nil), hosts...))
+	v := newView(number, append([]Host(nil), hosts...))
+	v.Joined = true
+	return v
 }
 
 // Hosts returns every host that is not dead, by name.
--- a/internal/share/hosts/wire.go
+++ b/internal/share/hosts/wire.go
@@ -183,8 +183,6 @@
 		return
 	}
 	n.mu.Lock()
-	for _, h := range whole.Hosts {
-		n.core.tell(n.Clock.Now(), h)
-	}
+	n.core.whole(n.Clock.Now(), whole.Hosts)
 	n.settle()
 }
--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -30,8 +30,9 @@
 	// another one that had free slots within freshLife.
 	switchWait = 50 * clock.Millis(1)
 	freshLife  = 250 * clock.Millis(1)
-	// progressWait is the longest time without a report of a running request.
-	progressWait = clock.Second
+	// progressPaces is after how many reports at the latest one tells of a
+	// running request again.
+	progressPaces = 4
 	// reassertWait is between repetitions of an ask that waits at its keeper,
 	// since the grant or the ask may have been lost on the way.
 	reassertWait = clock.Second
@@ -268,7 +269,7 @@
 
 // setView follows the membership: keepers change, and the dead hold nothing.
 func (c *core) setView(now clock.Millis, v hosts.View) {
-	if v.Number <= c.view.Number {
+	if !v.Joined || v.Number <= c.view.Number {
 		return
 	}
 	before := c.view
--- a/internal/share/keep/groups.go
+++ b/internal/share/keep/groups.go
@@ -72,12 +72,19 @@
 	})
 }
 
+// unknownHosts is the number of hosts that one which knows no other yet
+// shares the slots with.
+const unknownHosts = 100
+
 // shareOf returns the group with the slots that a host may use when it decides
 // alone: of each server its equal part, and the remainder goes to the hosts
 // that win the rendezvous hash on the server. Over all hosts that adds up to
 // the slots. A host that gets none has one slot on the first server that is up.
 func shareOf(g group, self string, live []hosts.Host) group {
 	shared := g
+	if len(live) == 0 {
+		live = make([]hosts.Host, unknownHosts)
+	}
 	shared.Servers = slices.Clone(g.Servers)
 	total := 0
 	for i, s := range shared.Servers {
--- a/internal/share/keep/report.go
+++ b/internal/share/keep/report.go
@@ -84,21 +84,21 @@
 	if m.Whole {
 		m.Runs = append(m.Runs, runMessage{Ask: newAsk(now, a.number(), a.seq, a.request), Server: a.server})
 	}
-	if a.worthReporting(now) {
+	if a.worthReporting(now, progressPaces*p.pace) {
 		m.Progress = append(m.Progress, newProgress(a.seq, a.progress))
 		a.reported = progressMark{at: now, tokens: a.progress.Tokens, first: a.progress.FirstToken >= 0}
 	}
 }
 
 // worthReporting limits the reports of a long answer: its first token, each
-// doubling of its length, and otherwise once each progressWait.
-func (a *ask) worthReporting(now clock.Millis) bool {
+// doubling of its length, and otherwise once each wait.
+func (a *ask) worthReporting(now, wait clock.Millis) bool {
 	if a.progress.Tokens == 0 && a.progress.FirstToken < 0 {
 		return false
 	}
 	return a.progress.FirstToken >= 0 && !a.reported.first ||
 		a.progress.Tokens >= 2*max(1, a.reported.tokens) ||
-		now-a.reported.at >= progressWait
+		now-a.reported.at >= wait
 }
 
 // seqHash spreads a number, so that sums of few differ.
