--- a/internal/share/hosts/core.go
+++ b/internal/share/hosts/core.go
@@ -34,9 +34,11 @@
 
 // Timing is when membership does what, in milliseconds.
 type Timing struct {
-	Beat clock.Millis // between beats to a peer of the domain
-	Far  clock.Millis // between beats to a peer of another domain
-	Miss clock.Millis // unheard for this long: a fresh connection is tried
+	Beat clock.Millis // between beats to the nearest peers on the ring
+	Far  clock.Millis // between beats to all other targets
+	// Miss is how long one of the nearest may be unheard before a fresh
+	// connection is tried; the others as many beats.
+	Miss clock.Millis
 	// Suspect is how long a suspected peer has to refute.
 	Suspect clock.Millis
 	Retry   clock.Millis // between attempts to reach a host that is listed but not known alive
@@ -55,10 +57,15 @@
 const (
 	// FanOut is the most peers of its own domain that a host beats to.
 	FanOut = 8
+	// nearPeers of them are beaten to at the fast pace and so find a crash.
+	nearPeers = 4
 	// farPeers is the number of peers in each other domain.
 	farPeers = 2
 	// maxAttempts bounds the dials of one tick to hosts not known alive.
 	maxAttempts = 4
+	// JoinWait is how long a host that starts waits for an answer of the listed
+	// hosts before it takes itself for the only one.
+	JoinWait = clock.Second
 	// maxRumors is the most news on one beat or reply.
 	maxRumors = 10
 	// rumorFactor times the binary logarithm of the hosts is how often news is
@@ -73,6 +80,7 @@
 	contacted bool
 	listed    bool
 	target    bool
+	near      bool         // a target that is beaten to at the fast pace
 	lastHeard clock.Millis // any contact
 	lastPath  clock.Millis // contact, or a refusal by its machine
 	lastBeat  clock.Millis
@@ -111,7 +119,9 @@
 	view    View
 	hash    uint64
 	synced  clock.Millis // when a whole view was last asked for
-	joined  bool         // it was asked for since the start
+	asked   bool         // it was asked for since the start
+	joined  bool         // as in View
+	listed  clock.Millis // when the sources were first read, 0 for not yet
 	actions []action
 }
 
@@ -147,6 +157,9 @@
 // list takes the hosts that the sources name. Hosts that are not known alive
 // are tried in the ticks that follow.
 func (c *core) list(now clock.Millis, listed []Host) {
+	if c.listed == 0 {
+		c.listed = now
+	}
 	for _, m := range c.members {
 		m.listed = false
 	}
@@ -205,6 +218,19 @@
 	c.tell(now, h)
 }
 
+// whole takes all that a peer holds.
+func (c *core) whole(now clock.Millis, hosts []Host) {
+	for _, h := range hosts {
+		c.tell(now, h)
+	}
+	c.join()
+}
+
+func (c *core) join() {
+	c.changed = c.changed || !c.joined
+	c.joined = true
+}
+
 // refute contradicts news that this host is suspected or dead.
 func (c *core) refute(h Host) {
 	ours := h.Incarnation == c.self.Incarnation && h.Refutation >= c.self.Refutation
--- a/internal/share/hosts/tick.go
+++ b/internal/share/hosts/tick.go
@@ -27,6 +27,9 @@
 		}
 		c.tickKnown(now, m)
 	}
+	if c.listed > 0 && now-c.listed >= JoinWait {
+		c.join()
+	}
 	c.refresh()
 }
 
@@ -51,7 +54,11 @@
 		c.step(now, m, eventExpired)
 		return
 	}
-	if m.target && !m.probing && now-m.lastHeard >= c.timing.Miss && now-m.lastTried >= c.timing.Miss {
+	miss := c.timing.Miss
+	if !m.near {
+		miss = c.timing.Miss * c.timing.Far / c.timing.Beat
+	}
+	if m.target && !m.probing && now-m.lastHeard >= miss && now-m.lastTried >= miss {
 		c.step(now, m, eventMissed)
 	}
 	if every := c.beatEvery(now, m); every > 0 && now-m.lastBeat >= every {
@@ -62,7 +69,7 @@
 // beatEvery returns how often a peer is beaten to, 0 for never.
 func (c *core) beatEvery(now clock.Millis, m *member) clock.Millis {
 	switch {
-	case m.target && m.FailureDomain == c.self.FailureDomain:
+	case m.target && m.near:
 		return c.timing.Beat
 	case m.target:
 		return c.timing.Far
@@ -89,6 +96,7 @@
 		}
 	}
 	c.view = newView(c.number, hosts)
+	c.view.Joined = c.joined
 	c.hash = hashOf(c.view.hosts)
 	c.retarget()
 }
@@ -110,8 +118,10 @@
 // retarget chooses whom this host beats to.
 func (c *core) retarget() {
 	chosen := map[string]bool{}
-	for _, name := range ringPeers(c.self.Name, c.view.In(c.self.FailureDomain)) {
+	near := map[string]bool{}
+	for i, name := range ringPeers(c.self.Name, c.view.In(c.self.FailureDomain)) {
 		chosen[name] = true
+		near[name] = i < nearPeers
 	}
 	for _, domain := range c.view.Domains() {
 		if domain == c.self.FailureDomain {
@@ -125,7 +135,7 @@
 		if chosen[name] && !m.target {
 			m.lastHeard = max(m.lastHeard, m.since)
 		}
-		m.target = chosen[name]
+		m.target, m.near = chosen[name], near[name]
 	}
 }
 
@@ -229,8 +239,8 @@
 		m.differs = now
 	}
 	overdue := now-m.differs >= syncAfter && now-c.synced >= syncEvery
-	if overdue || !c.joined {
-		c.joined = true
+	if overdue || !c.asked {
+		c.asked = true
 		c.synced = now
 		m.differs = 0
 		c.do(actionSync, name)
