Readiness waits until the host has learnt of the others

TestOpenAIClient saw one request decided alone: a host that has just started now holds no duty for up to a second, and it was ready before that. TestSpillIsBoundedAndComesBack fed a domain's load in which nothing waits, by which nothing spills since the rule counts waiting work; its text says that the queue is slow, so the fed load now has a waiting request. The outcomes wanted are unchanged.

--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -180,13 +180,19 @@
 	return err
 }
 
+// ready tells whether the host knows the backend servers and the other hosts.
+// Before that it could only decide alone, on a small share of the slots.
+func (h *Host) ready() bool {
+	return h.machines.ready() && h.members.View().Joined
+}
+
 func (h *Host) newEntry() *entry.Entry {
 	return &entry.Entry{
 		Settings: h.Settings.Callers,
 		View:     h.view,
 		Relay:    h.newRelay(),
 		Calls:    h.calls,
-		Ready:    h.machines.ready,
+		Ready:    h.ready,
 		Clock:    h.Clock,
 		Count:    h.Count,
 		Log:      h.Log.WithPrefix("entry"),
--- a/internal/share/keep/core_test.go
+++ b/internal/share/keep/core_test.go
@@ -155,7 +155,7 @@
 	c.Assert(p.ask("host-a", 10), qt.DeepEquals, map[string]int{"prairie-a": 10})
 	knownFree := b.sum(p.now)
 	spill := func() map[string]int {
-		a.digests[numberOf("canvas-llm/prairie-a/0")] = known{digest: sched.Digest{Running: 10, WaitEstimate: 400}, at: p.now}
+		a.digests[numberOf("canvas-llm/prairie-a/0")] = known{digest: sched.Digest{Running: 10, Waiting: 1, WaitEstimate: 400}, at: p.now}
 		a.learn(p.now, "prairie-b", knownFree)
 		return p.ask("host-a", 1)
 	}
