--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -21,10 +21,14 @@
 	running  map[string]*run
 	// expiry orders all waiting entries by GiveUp, timers all queues by the
 	// time at which their next entry becomes late.
-	expiry    indexed[*entry]
-	timers    indexed[*queue]
-	sequence  uint64
-	capacity  int
+	expiry   indexed[*entry]
+	timers   indexed[*queue]
+	sequence uint64
+	capacity int
+	// free and reserve are the group's free slots and those kept for urgent
+	// tiers, as of the last updateReserve.
+	free      int
+	reserve   int
 	decisions []Decision
 	scratch   []Candidate
 }
@@ -84,7 +88,7 @@
 	}
 	for name, c := range g.classes {
 		if old := before[name]; old != nil {
-			c.hold, c.unserved = old.hold, old.unserved
+			c.hold, c.unserved, c.surge = old.hold, old.unserved, old.surge
 		}
 	}
 	g.settle(now)
@@ -161,6 +165,7 @@
 		e.startBy -= g.settings.FirstToken(r)
 	}
 	g.add(now, e)
+	e.queue.lane.class.surge.arrive(now)
 	g.advance(now)
 	g.dispatch(now)
 	g.bound(now, e)
@@ -253,14 +258,24 @@
 }
 
 // Digest returns the group in a few numbers.
-func (g *Group) Digest(_ clock.Millis) Digest {
-	d := Digest{FreeSlots: g.freeSlots(), Waiting: len(g.waiting), Running: len(g.running)}
+func (g *Group) Digest(now clock.Millis) Digest {
+	g.updateReserve(now)
+	d := Digest{FreeSlots: g.openSlots(), Waiting: len(g.waiting), Running: len(g.running)}
 	if len(g.tiers) > 0 && d.FreeSlots == 0 {
 		d.WaitEstimate = g.waitEstimate(g.tiers[len(g.tiers)-1])
 	}
 	return d
 }
 
+// openSlots counts the free slots that every tier may use.
+func (g *Group) openSlots() int {
+	open := 0
+	for _, s := range g.servers {
+		open += max(0, s.free()-g.settings.Headroom.Slots)
+	}
+	return max(0, min(open, g.free-g.reserve))
+}
+
 func (g *Group) freeSlots() int {
 	free := 0
 	for _, s := range g.servers {
--- a/internal/share/hosts/view.go
+++ b/internal/share/hosts/view.go
@@ -49,6 +49,10 @@
 	// Number rises with each change on this host. Numbers of different hosts
 	// do not compare.
 	Number uint64
+	// Joined tells that the host has learnt of the others: a peer has sent its
+	// whole view, or none of the listed hosts answered for JoinWait. Before
+	// that, a host must not believe that duties are its own.
+	Joined bool
 	hosts  []Host // by name, without the dead
 }
 
@@ -60,7 +64,9 @@
 
 // NewView makes a view by hand, for the tests of packages that take one.
 func NewView(number uint64, hosts ...Host) View {
-	return newView(number, append([]Host(nil), hosts...))
+	v := newView(number, append([]Host(nil), hosts...))
+	v.Joined = true
+	return v
 }
 
 // Hosts returns every host that is not dead, by name.
@@ -119,7 +125,7 @@
 	var best Host
 	var bestWeight uint64
 	for _, h := range hosts {
-		weight := weigh(key, h.Name)
+		weight := Weight(key, h.Name)
 		if best.Name == "" || weight > bestWeight || (weight == bestWeight && h.Name < best.Name) {
 			best, bestWeight = h, weight
 		}
@@ -127,9 +133,9 @@
 	return best, best.Name != ""
 }
 
-// weigh hashes a key and a name. FNV alone changes too little in the high bits
+// Weight is the rendezvous hash of a key and a name; the highest wins. FNV alone changes too little in the high bits
 // for names that differ in the last letter, so the sum is mixed once more.
-func weigh(key, name string) uint64 {
+func Weight(key, name string) uint64 {
 	sum := fnv.New64a()
 	_, _ = sum.Write([]byte(key))
 	_, _ = sum.Write([]byte{0})
--- a/internal/tools/bench/fault.go
+++ b/internal/tools/bench/fault.go
@@ -1,6 +1,10 @@
 package bench
 
-import "slices"
+import (
+	"slices"
+
+	"siskinsaddle/internal/policy/sched"
+)
 
 // faultStarts are what each kind of fault does at its start. Each returns what
 // is to be done at its end.
@@ -67,5 +71,27 @@
 func startCut(w *world, f Fault) func() {
 	at := slices.IndexFunc(w.domains, func(d Domain) bool { return d.Name == f.Domain })
 	w.cutOff[at] = true
-	return func() { w.cutOff[at] = false }
+	w.loseAcross()
+	w.onCut()
+	return func() {
+		w.cutOff[at] = false
+		w.onCut()
+	}
+}
+
+// loseAcross breaks the connections that cross the cut: the host notices after
+// a time of silence, and so does the server.
+func (w *world) loseAcross() {
+	for _, place := range w.hostPlaces() {
+		for _, a := range w.openAttempts(place) {
+			if !w.cut(place.domain, a.server.domain) {
+				continue
+			}
+			a.lost = true
+			w.after(silentTimeout, func() {
+				a.server.cancel(a)
+				a.fail(sched.OutcomeSilent)
+			})
+		}
+	}
 }
--- a/internal/tools/bench/report.go
+++ b/internal/tools/bench/report.go
@@ -24,6 +24,16 @@
 	Targets []Judgement
 }
 
+// find returns a policy's figures, nil where it did not run.
+func (r Report) find(name PolicyName) *Figures {
+	for i := range r.Policies {
+		if r.Policies[i].Policy == name {
+			return &r.Policies[i]
+		}
+	}
+	return nil
+}
+
 // Bound is the most that anybody could reach at the crest, or over the whole
 // run where the scenario has no crest; in answers within target a second.
 type Bound struct {
@@ -86,12 +96,17 @@
 	for _, f := range r.Without {
 		f.addRow(t, " (without)")
 	}
-	t.add("\npolicy\tclass\ttier\tarrived\tattained\tcrest\tfirst50\tfirst95\tfirst99\tbetween95\tgap ms\tfloor ms\trefused, broken")
+	t.add("\npolicy\tclass\ttier\tarrived\tattained\tcrest\tfirst50\tfirst95\tfirst99\tbetween95\tgap ms\tfloor ms\twithout an answer")
 	for _, f := range r.Policies {
 		for _, c := range f.Classes {
 			c.addRow(t, f.Policy)
 		}
 	}
+	for _, f := range r.Policies {
+		for _, a := range f.Audit {
+			t.add("audit of %s: rule %s broken %d times, first: %s", f.Policy, a.Rule, a.Count, a.First)
+		}
+	}
 	t.add("\ntarget\tmeasured\tbound\tverdict\tnote")
 	for _, j := range r.Targets {
 		t.add("%s\t%.3f\t%s %.3g\t%s\t%s", j.Target, j.Measured, j.sign(), j.Bound, j.Verdict, j.Note)
@@ -119,10 +134,7 @@
 func (f ClassFigures) endings() string {
 	var parts []string
 	for _, r := range f.Refusals {
-		parts = append(parts, fmt.Sprintf("%s %d", r.Reason, r.Count))
-	}
-	if f.Broken > 0 {
-		parts = append(parts, fmt.Sprintf("broken %d", f.Broken))
+		parts = append(parts, fmt.Sprintf("%s %s %d", r.Ending, r.Reason, r.Count))
 	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/tools/bench/request.go
+++ b/internal/tools/bench/request.go
@@ -20,11 +20,12 @@
 // request is one job on its way through one policy.
 type request struct {
 	*job
-	world   *world
-	number  int
-	tries   int
-	attempt *attempt
-	keeper  *keeper
+	world    *world
+	number   int
+	asks     int
+	attempts []*attempt
+	// hedge is the ask for a second attempt, nil for none.
+	hedge *ask
 	// got is how many tokens have reached the entry host, made how many the
 	// engines made for the request.
 	got     int
@@ -78,12 +79,17 @@
 // attempt is one sending of a request to a server.
 type attempt struct {
 	id       string
+	ask      *ask
 	request  *request
 	server   *server
 	priority int
 	offset   int
 	sent     clock.Millis
 	first    clock.Millis
+	last     clock.Millis
+	tokens   int
+	// lost is true once a cut has separated the host and the server.
+	lost bool
 	// over is true once the entry host no longer listens.
 	over bool
 	// reported and reportedAt are where the last progress report ended.
@@ -93,10 +99,9 @@
 
 // send starts an attempt that goes on after the tokens that came so far, or
 // from the beginning.
-func (r *request) send(s *server, priority int, resume bool) {
-	r.tries++
+func (r *request) send(s *server, priority int, resume bool) *attempt {
 	a := &attempt{
-		id:       fmt.Sprintf("%s.%d", r.id, r.tries),
+		id:       fmt.Sprintf("%s/%d", r.id, len(r.attempts)+1),
 		request:  r,
 		server:   s,
 		priority: priority,
@@ -106,34 +111,53 @@
 	if resume {
 		a.offset = r.got
 	}
-	a.reported = a.offset
-	r.attempt = a
+	r.attempts = append(r.attempts, a)
+	r.world.running[r.hostPlace()] = append(r.world.running[r.hostPlace()], a)
 	if r.world.cut(r.domain, s.domain) {
-		r.world.after(connectTimeout, a.fail)
-		return
+		r.world.after(connectTimeout, func() { a.fail(sched.OutcomeUnreachable) })
+		return a
 	}
 	r.world.after(r.world.delay(r.domain, s.domain), func() { s.submit(a) })
+	return a
 }
 
+// progressPeriod is how often an entry host notes an attempt's progress.
+const progressPeriod = 200 * clock.Millis(1)
+
 // connectTimeout is after what time a host gives a connection up.
 const connectTimeout = 500 * clock.Millis(1)
 
 // token takes one token at the entry host.
 func (a *attempt) token(t batch.TokenOut) {
-	if a.over {
+	if a.over || a.lost {
 		return
 	}
 	now := a.request.world.now
-	if a.first < 0 {
+	first := a.first < 0
+	if first {
 		a.first = now - a.sent
-		a.reportedAt = now
+		a.mark(now)
+		a.request.world.router.first(a)
 	}
+	a.tokens++
+	a.last = now
 	a.request.take(t.Index, now)
 	if t.Last {
 		a.over = true
 		a.request.end(endingAnswered, "")
 		a.request.world.router.done(a)
+		return
 	}
+	if first || now-a.reportedAt >= progressPeriod {
+		a.request.world.router.report(a)
+		a.mark(now)
+	}
+}
+
+// mark remembers where a report of progress ended.
+func (a *attempt) mark(now clock.Millis) {
+	a.reported = a.tokens
+	a.reportedAt = now
 }
 
 func (r *request) take(index int, now clock.Millis) {
@@ -149,12 +173,12 @@
 	r.last = now
 }
 
-func (a *attempt) fail() {
+func (a *attempt) fail(how sched.Outcome) {
 	if a.over {
 		return
 	}
 	a.over = true
-	a.request.world.router.failed(a)
+	a.request.world.router.failed(a, how)
 }
 
 // cancel withdraws an attempt.
@@ -167,20 +191,12 @@
 	w.after(w.delay(a.request.domain, a.server.domain), func() { a.server.cancel(a) })
 }
 
-// progress is what the entry host reports of an attempt, since its last report.
+// progress is what the entry host knows of an attempt, with the mean time
+// between tokens since the last report.
 func (a *attempt) progress() sched.Progress {
-	r := a.request
-	p := sched.Progress{ID: r.id, Tokens: r.got, FirstToken: a.first}
-	if r.got > a.reported && r.last > a.reportedAt {
-		tokens := r.got - a.reported
-		if a.reported == a.offset {
-			tokens--
-		}
-		if tokens > 0 {
-			p.BetweenTokens = float64(r.last-a.reportedAt) / float64(tokens)
-		}
-		a.reported = r.got
-		a.reportedAt = r.last
+	p := sched.Progress{Tokens: a.offset + a.tokens, FirstToken: a.first}
+	if since := a.tokens - a.reported; since > 0 {
+		p.BetweenTokens = float64(a.last-a.reportedAt) / float64(since)
 	}
 	return p
 }
