One host of each failure domain orders the engines to what the manifest wants

Cause: leases and orders existed as packages; no host used them.

Change: the host that wins a service's duty asks for the lease; only while it holds it, it reads the engines' states and gives orders with the fencing number. The weight store's rate and the longest order are settings.

Found: the test's second manifest led to no order within 100 s. Cause: the parts beside the request path learnt of a new manifest only when a request came, so a host without traffic kept its old groups and orders. They now look every 200 ms. Ruled out: the lease (the first orders were given under it). After: TestOrdersFollowTheManifest passes. Conclusion: a change reaches idle hosts too.

--- a/internal/base/confs/confs.go
+++ b/internal/base/confs/confs.go
@@ -45,6 +45,7 @@
 	Backend       Backend    `about:"towards backend servers"`
 	Platform      Platform   `about:"towards the platform"`
 	Stop          Stop       `about:"how a planned stop goes"`
+	Orders        Orders     `about:"orders to model engines"`
 	LogLevel      logs.Level `about:"Debug, Info, Warn or Error"`
 }
 
@@ -95,6 +96,13 @@
 	BalancerMilliseconds clock.Millis `about:"time between failing readiness and refusing new work"`
 }
 
+// Orders are the settings of the orders to model engines. They have to be the
+// same on all hosts of a failure domain.
+type Orders struct {
+	LongestMilliseconds    clock.Millis `about:"longest time from an order to its end"`
+	LoadPeriodMilliseconds clock.Millis `about:"time between two loads out of the weight store, for one service in one failure domain"`
+}
+
 // Default returns the settings that a file builds on. The limits fit a small
 // host; the addresses are loopback.
 func Default() Settings {
@@ -131,7 +139,11 @@
 			TimeoutMilliseconds:    clock.Second,
 			ListPeriodMilliseconds: 2 * clock.Second,
 		},
-		Stop:     Stop{BalancerMilliseconds: 2 * clock.Second},
+		Stop: Stop{BalancerMilliseconds: 2 * clock.Second},
+		Orders: Orders{
+			LongestMilliseconds:    clock.Minute,
+			LoadPeriodMilliseconds: 5 * clock.Second,
+		},
 		LogLevel: logs.LevelInfo,
 	}
 }
@@ -226,6 +238,8 @@
 		{"Backend.MaxAnswerBytes", int64(s.Backend.MaxAnswerBytes)},
 		{"Backend.MaxAttempts", int64(s.Backend.MaxAttempts)},
 		{"Platform.TimeoutMilliseconds", int64(s.Platform.TimeoutMilliseconds)},
+		{"Orders.LongestMilliseconds", int64(s.Orders.LongestMilliseconds)},
+		{"Orders.LoadPeriodMilliseconds", int64(s.Orders.LoadPeriodMilliseconds)},
 		{"Platform.ListPeriodMilliseconds", int64(s.Platform.ListPeriodMilliseconds)},
 	}
 }
--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -187,3 +187,31 @@
 		b.c.Assert(b.book(h, "POST", fmt.Sprint(h.Address())).reason, qt.Equals, refuse.ReasonWrongKey)
 	}
 }
+
+// The engines are brought to the models that the manifest wants, and to other
+// ones once it changes, by one host of the failure domain.
+func TestOrdersFollowTheManifest(t *testing.T) {
+	b := newBed(t, "prairie-a", "prairie-a")
+	loaded := func(want ...string) func() bool {
+		return func() bool {
+			for _, name := range engines {
+				var models []string
+				for _, m := range b.stand.Engine(name).State().Models {
+					models = append(models, m.Name+"@"+m.Version)
+				}
+				if !slices.Equal(models, want) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	b.awaits(loaded("canvas-small@1"))
+	next := withDomains(mfest.Default(), []string{"prairie-a"})
+	next.Base = 1
+	next.Services = slices.Clone(next.Services)
+	next.Services[0].Models = []mfest.Model{{Name: "canvas-small", Version: "2"}}
+	b.push(next)
+	b.awaits(loaded("canvas-small@2"))
+	b.c.Assert(b.stand.Engine(engines[0]).StaleOrders()+b.stand.Engine(engines[1]).StaleOrders(), qt.Equals, 0)
+}
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -65,6 +66,7 @@
 	calls     *calls.Calls
 	entry     *entry.Entry
 
+	orders  sync.WaitGroup
 	cancel  context.CancelFunc
 	stopped chan struct{}
 }
@@ -127,6 +129,11 @@
 	go h.sweepClaims(background)
 	go h.runManifest(background)
 	go h.prober.Run(background)
+	h.orders.Add(1)
+	go func() {
+		defer h.orders.Done()
+		h.runOrders(background)
+	}()
 	h.stopped = make(chan struct{})
 	go h.serve()
 	return nil
@@ -176,6 +183,7 @@
 		h.Log.Warn("Could not remove the registration.", "error", stopErr)
 	}
 	h.cancel()
+	h.orders.Wait()
 	h.pool.Release()
 	return err
 }
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -67,6 +67,7 @@
 	s.Callers.SendTimeoutMilliseconds = 300
 	s.Backend.ProgressTimeoutMilliseconds = 300
 	s.Platform.ListPeriodMilliseconds = 200
+	s.Orders.LoadPeriodMilliseconds = 200
 	a := amazon.Settings{
 		TableEndpoint:  "http://" + platform,
 		ObjectEndpoint: "http://" + platform,
--- a/internal/serve/hostd/manifest.go
+++ b/internal/serve/hostd/manifest.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 
+	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/serve/entry"
 	"siskinsaddle/internal/share/accept"
 	"siskinsaddle/internal/share/hosts"
@@ -51,10 +52,21 @@
 	}
 }
 
+// followEvery is the time between two looks at whether another manifest is in
+// force, for the parts that act without a request.
+const followEvery = 200 * clock.Millis(1)
+
 // runManifest keeps the manifest current until the context ends.
 func (h *Host) runManifest(ctx context.Context) {
 	go h.collector.Run(ctx)
-	h.watch.Run(ctx)
+	go h.watch.Run(ctx)
+	for ctx.Err() == nil {
+		h.view()
+		select {
+		case <-ctx.Done():
+		case <-h.Clock.Pulse(followEvery):
+		}
+	}
 }
 
 // view is what a request that arrives now is served under.
