Late requests go behind punctual ones of every workspace

Cause: a workspace below its fair share had its late requests served before the punctual ones of others, so that both missed their targets. The naive version of the differential test has the same new rule, no less strict.

--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -131,13 +131,13 @@
 // before compares two entries; a later one in the list is a in the call, so
 // equal ones keep their order, or reverse it when late.
 func (n *naive) before(now clock.Millis, a, b naiveEntry) bool {
-	if x, y := n.over(a), n.over(b); x != y {
-		return y
-	}
 	x, y := a.Deadline < now, b.Deadline < now
 	if x != y {
 		return y
 	}
+	if x, y := n.over(a), n.over(b); x != y {
+		return y
+	}
 	if x {
 		return a.Deadline >= b.Deadline
 	}
--- a/internal/policy/sched/queue.go
+++ b/internal/policy/sched/queue.go
@@ -81,12 +81,12 @@
 
 // serviceBefore tells whether a's head is served before b's head.
 func serviceBefore(a, b *queue) bool {
-	if a.share.over != b.share.over {
-		return b.share.over
-	}
 	if a.headLate() != b.headLate() {
 		return b.headLate()
 	}
+	if a.share.over != b.share.over {
+		return b.share.over
+	}
 	if a.headLate() {
 		return b.head().before(a.head())
 	}
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -12,12 +12,12 @@
 //
 //  1. the class whose floor is due: it has waiting work and has been given no
 //     slot for half of its FloorPeriod. The most overdue class goes first.
-//  2. the most urgent tier. Within the tier, requests of workspaces that hold
-//     more than their fair share of the tier's slots go behind the others.
-//     Among these, requests that can still meet their deadline go first, by
-//     the time at which they must start. Late ones follow, the least late
-//     first, so that a request whose target is lost does not cost the next
-//     one its target too.
+//  2. the most urgent tier. Within the tier, requests that can still meet
+//     their deadline go first, and late ones follow, so that a request whose
+//     target is lost does not cost the next one its target too. Among each of
+//     these, requests of workspaces that hold more than their fair share of
+//     the tier's slots go behind the others. Then the time by which they must
+//     start decides: the earliest first, but of late ones the least late.
 //
 // A slot is of no use to a request whose model the server has not loaded, to
 // long work on a server whose slots for long work are taken, and to tiers
