--- a/internal/share/keep/groups.go
+++ b/internal/share/keep/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"sort"
 	"strings"
@@ -21,6 +22,15 @@
 	Servers []sched.Server
 }
 
+// groupNumber stands for a group's name in messages, to keep them short.
+type groupNumber uint32
+
+func numberOf(name string) groupNumber {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(name))
+	return groupNumber(sum.Sum32())
+}
+
 // split divides the servers of a service in a failure domain into groups of
 // nearly the same size, in the order of their names. Ten servers at a size of
 // eight make two groups of five.
@@ -62,12 +72,19 @@
 	})
 }
 
+// unknownHosts is the number of hosts that one which knows no other yet
+// shares the slots with.
+const unknownHosts = 100
+
 // shareOf returns the group with the slots that a host may use when it decides
 // alone: of each server its equal part, and the remainder goes to the hosts
 // that win the rendezvous hash on the server. Over all hosts that adds up to
 // the slots. A host that gets none has one slot on the first server that is up.
 func shareOf(g group, self string, live []hosts.Host) group {
 	shared := g
+	if len(live) == 0 {
+		live = make([]hosts.Host, unknownHosts)
+	}
 	shared.Servers = slices.Clone(g.Servers)
 	total := 0
 	for i, s := range shared.Servers {
