A request that queues at its keeper is tried in another failure domain at once

Cause: a host's digest of its own domain is up to 200 ms old, so that requests queued at home for that long beside domains with free slots; the keeper's word that a request is queued carries the newest digest.

--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -160,6 +160,7 @@
 		c.refused(now, a, Refusal{Reason: sched.Reason(m.Reason), RetryAfter: m.RetryAfter, Keeper: a.keeper})
 	case verdictQueued:
 		a.state, a.since = stateQueued, now
+		c.spillQueued(now, a)
 	case verdictNotKeeper:
 		c.tally("NotKeeper")
 		if a.state == stateQueued {
--- a/internal/share/keep/spill.go
+++ b/internal/share/keep/spill.go
@@ -89,6 +89,15 @@
 	return true
 }
 
+// spillQueued tries another failure domain for a request that waits at its
+// keeper: the keeper has just said how long its queue is.
+func (c *core) spillQueued(now clock.Millis, a *ask) {
+	keeper, group := a.keeper, a.number()
+	if c.spill(now, a) {
+		c.giveBack(keeper, group, a.seq)
+	}
+}
+
 func (c *core) spillAsk(now clock.Millis, a *ask) spill.Ask {
 	all := c.sum(now)
 	i := slices.IndexFunc(all, func(d DomainDigest) bool { return d.Service == a.request.Service })
