A server that turns slow goes on below the load at which it did

Cause: servers on a shared feed slow by their own draw. Weight came back to one as soon as they had emptied, they were filled again and slowed again. And a long prompt's reading made healthy servers look slow, since tokens come more slowly meanwhile.

--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -126,9 +126,9 @@
 
 // SetWeight leaves a server this share of its slots, from 0 to 1, and at least
 // one. It counts from the next step on.
-func (g *Group) SetWeight(name string, weight float64) {
+func (g *Group) SetWeight(now clock.Millis, name string, weight float64) {
 	if s := g.byName[name]; s != nil {
-		s.slots.weight = weight
+		s.slots.weigh(now, weight, s.running)
 	}
 }
 
--- a/internal/policy/sched/sched_test.go
+++ b/internal/policy/sched/sched_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -74,3 +75,37 @@
 	g.SetServers(2, nil)
 	c.Assert(g.Digest(2).Waiting, quicktest.Equals, 0)
 }
+
+// fill offers requests until none is granted any more and returns how many run.
+func fill(g *sched.Group, now clock.Millis) int {
+	for i := range 20 {
+		g.Offer(now, request(fmt.Sprint("f", now, "-", i), "urgent", "w", now))
+	}
+	g.Take()
+	return g.Running("s1")
+}
+
+func TestSlotsFollowSpeed(t *testing.T) {
+	c := quicktest.New(t)
+	g := sched.New(sched.Settings{Classes: classes()})
+	g.SetServers(0, []sched.Server{{Name: "s1", State: sched.ServerUp, Slots: 16}})
+	c.Assert(fill(g, 0), quicktest.Equals, 16)
+	// Tokens come twice as slowly as the class asks for: the limit falls, and
+	// what runs goes on.
+	for now := clock.Millis(0); now <= 1_500; now += 100 {
+		g.Progress(now, sched.Progress{ID: "f0-0", Tokens: 5, BetweenTokens: 64})
+	}
+	for i := range 16 {
+		g.Release(1_600, sched.Done{Progress: sched.Progress{ID: fmt.Sprint("f0-", i)}})
+	}
+	c.Assert(fill(g, 10_000), quicktest.Equals, 9)
+	// The server turns slow, and grows back only while its limit is reached.
+	g.SetWeight(10_000, "s1", 0.25)
+	c.Assert(g.Digest(10_000).FreeSlots, quicktest.Equals, 0)
+	g.SetWeight(10_100, "s1", 1)
+	g.SetWeight(10_700, "s1", 1)
+	g.SetWeight(11_300, "s1", 1)
+	g.SetWeight(11_900, "s1", 1)
+	g.Tick(11_900)
+	c.Assert(fill(g, 11_900), quicktest.Equals, 10)
+}
--- a/internal/policy/sched/slots.go
+++ b/internal/policy/sched/slots.go
@@ -11,6 +11,12 @@
 	slotsCalm = 0.85
 	// slotsSmoothing is the weight of one report of the time between tokens.
 	slotsSmoothing = 0.2
+	// slotsBelow is the share of its running requests with which a server goes
+	// on that has turned slow.
+	slotsBelow = 0.8
+	// slotsRegrowth is the time for which the limit must be reached before it
+	// grows by one.
+	slotsRegrowth = 500 * clock.Millis(1)
 	// slotsLowest is the share of a server's slots that is always left.
 	slotsLowest = 0.25
 )
@@ -24,6 +30,8 @@
 	current float64
 	// weight is the share of the limit that a slow server keeps.
 	weight float64
+	// grown is when the limit last grew after the server was slow.
+	grown clock.Millis
 	// ratio is the smoothed time between tokens over its target.
 	ratio   float64
 	changed clock.Millis
@@ -59,6 +67,26 @@
 	s.current = min(float64(s.most), max(lowest, s.current))
 }
 
+// weigh takes the share that the server's speed leaves it. A server that turns
+// slow may do so because of its own load: it goes on below what it ran then,
+// and the limit grows back by small steps, only while it is reached.
+func (s *slots) weigh(now clock.Millis, weight float64, running int) {
+	if weight < 1 && s.weight >= 1 {
+		s.current = min(s.current, slotsBelow*float64(running))
+		s.clamp()
+	}
+	s.weight = weight
+	if weight < 1 || running < s.limit() {
+		s.grown = now
+		return
+	}
+	if now-s.grown >= slotsRegrowth {
+		s.grown = now
+		s.current++
+		s.clamp()
+	}
+}
+
 // observe takes one report: between and target are in milliseconds, full tells
 // whether the limit is reached.
 func (s *slots) observe(now clock.Millis, between float64, target clock.Millis, full bool) {
--- a/internal/policy/speed/speed.go
+++ b/internal/policy/speed/speed.go
@@ -47,6 +47,10 @@
 	lowestWeight = 0.05
 	// probeEvery is the time between two probes of a slow server.
 	probeEvery = 500 * clock.Millis(1)
+	// heavyReading is the time in milliseconds from which a prompt's reading
+	// slows the tokens of others noticeably, and heavySlowing by how much.
+	heavyReading = 50.0
+	heavySlowing = 1.5
 	// leastTimings is how many timings the line needs before it is used.
 	leastTimings = 20
 )
@@ -68,8 +72,10 @@
 	between ratio
 	open    map[string]opened
 	probed  clock.Millis
-	// readUntil is when the prompts sent so far are expected to be read.
-	readUntil float64
+	// readUntil is when the prompts sent so far are expected to be read, and
+	// heavyUntil until when reports may be of a time with long prompts.
+	readUntil  float64
+	heavyUntil float64
 }
 
 // opened is a request without its first token.
@@ -106,6 +112,9 @@
 	s.open[id] = opened{at: now, prompt: promptTokens, ahead: t.Reading(now, name)}
 	reading := t.first.perUnit * float64(promptTokens) * t.Slowness(now, name)
 	s.readUntil = max(s.readUntil, float64(now)) + reading
+	if reading >= heavyReading {
+		s.heavyUntil = s.readUntil + float64(t.ReportLag)
+	}
 }
 
 // Reading is how long in milliseconds the server is expected to read prompts
@@ -131,11 +140,17 @@
 }
 
 // Between takes a mean time between tokens in milliseconds, seen while the
-// server ran this many requests.
+// server ran this many requests. Tokens come more slowly while a long prompt is
+// read, which says nothing of the server.
 func (t *Tracker) Between(now clock.Millis, name string, running int, took float64) {
-	if took > 0 {
-		t.observe(now, &t.between, &t.at(name).between, name, timing{x: float64(running), took: took})
+	if took <= 0 {
+		return
+	}
+	s := t.at(name)
+	if float64(now) < s.heavyUntil {
+		took /= heavySlowing
 	}
+	t.observe(now, &t.between, &s.between, name, timing{x: float64(running), took: took})
 }
 
 // Ended notes that a request is over, with or without a first token.
