--- a/internal/tools/bench/probes.go
+++ b/internal/tools/bench/probes.go
@@ -3,14 +3,11 @@
 import (
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/probe"
 )
 
-const (
-	// probePeriod is the time between two probes of a server.
-	probePeriod = 500 * clock.Millis(1)
-	// probeMisses is how many probes in a row have to fail.
-	probeMisses = 2
-)
+// probeMisses is how many probes in a row have to fail.
+const probeMisses = 2
 
 // probes are what keepers learn by asking servers how they are.
 type probes struct {
@@ -21,8 +18,8 @@
 func newProbes(w *world) *probes {
 	p := &probes{world: w, missed: map[*server]int{}}
 	for i, s := range w.servers {
-		stagger := clock.Millis(i) * probePeriod / clock.Millis(len(w.servers))
-		w.every(stagger, probePeriod, func() { p.ask(s) })
+		stagger := clock.Millis(i) * probe.Period / clock.Millis(len(w.servers))
+		w.every(stagger, probe.Period, func() { p.ask(s) })
 	}
 	return p
 }
