Specifications of manifest acceptance, and a restarted host that went back

Cause: spin found that a host which served under a new generation, crashed and started again could be told the old one by a peer that had not heard yet, and serve under it for less than the currency window.

--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -42,9 +42,8 @@
 	Host   string
 	Domain string
 
-	awake   *awake
-	started clock.Millis
-	state   atomic.Pointer[state]
+	awake *awake
+	state atomic.Pointer[state]
 
 	mu       sync.Mutex
 	roster   *roster
@@ -63,9 +62,9 @@
 		Host: host, Domain: domain,
 		awake: &awake{clock: c}, roster: newRoster(), bodies: map[Ref]held{}, refusals: map[Ref]string{},
 	}
-	h.started = h.now()
-	h.beatAt, h.awakeSince = h.started, h.started
-	h.state.Store(&state{knowledge: newKnowledge()})
+	now := h.now()
+	h.beatAt, h.awakeSince = now, now
+	h.state.Store(&state{knowledge: newKnowledge(now)})
 	return h
 }
 
@@ -200,12 +199,6 @@
 	return nil
 }
 
-// solid tells whether the host has seen the platform's record since its start,
-// so that it can not have forgotten an acknowledgement.
-func (h *Holder) solid() bool {
-	return h.Knowledge().PlatformAt >= h.started
-}
-
 // age of a time on the host's clock, -1 for never.
 func age(now, at clock.Millis) clock.Millis {
 	if at == never {
@@ -219,7 +212,7 @@
 	k := h.Knowledge()
 	now := h.now()
 	reply := CheckReply{
-		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: h.solid(),
+		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: k.Solid(),
 	}
 	if k.Accepted.Number > request.Accepted {
 		reply.Accepted = k.Accepted
@@ -270,7 +263,7 @@
 
 // verify raises the time of verification by what the peers have shown.
 func (h *Holder) verify() {
-	if h.solid() {
+	if h.Knowledge().Solid() {
 		h.learn(Sighting{VerifiedAt: h.roster.verifiedAt(h.now()), PlatformAt: never})
 	}
 }
--- a/internal/share/accept/knowledge.go
+++ b/internal/share/accept/knowledge.go
@@ -61,11 +61,15 @@
 type Knowledge struct {
 	State chart.State
 	Sighting
+	// StartedAt is when the host started, on its own clock.
+	StartedAt clock.Millis
 }
 
 // newKnowledge is that of a host that has just started.
-func newKnowledge() Knowledge {
-	return Knowledge{State: holderChart.Initial, Sighting: Sighting{VerifiedAt: never, PlatformAt: never}}
+func newKnowledge(now clock.Millis) Knowledge {
+	return Knowledge{
+		State: holderChart.Initial, Sighting: Sighting{VerifiedAt: never, PlatformAt: never}, StartedAt: now,
+	}
 }
 
 // With returns the knowledge with one more sighting.
@@ -104,18 +108,27 @@
 	return k.Staged, k.State == stateStaged
 }
 
+// Solid tells whether the platform's record was seen as of a time since the
+// host's start, so that nothing which the host knew or acknowledged before can
+// be missing.
+func (k Knowledge) Solid() bool {
+	return k.PlatformAt >= k.StartedAt
+}
+
 // Mode returns how the host may serve at a time.
 //
-// A host with an undecided generation stays Ready while the platform's record
-// is known to have been open within CurrencyWindow, and is Both after that.
+// What was verified before the host's start does not count, since the host may
+// have served under a later generation before it stopped. A host with an
+// undecided generation stays Ready while the platform's record is known to
+// have been open within CurrencyWindow, and is Both after that.
 func (k Knowledge) Mode(now clock.Millis) Mode {
 	_, undecided := k.Undecided()
 	switch {
-	case k.Accepted.Number == 0:
+	case k.Accepted.Number == 0 || k.VerifiedAt < k.StartedAt:
 		return ModeNotReady
 	case now-k.VerifiedAt > CurrencyWindow:
 		return ModeNotCurrent
-	case undecided && now-k.PlatformAt > CurrencyWindow:
+	case undecided && (now-k.PlatformAt > CurrencyWindow || !k.Solid()):
 		return ModeBoth
 	default:
 		return ModeReady
--- /dev/null
+++ b/spec/manifest-crash.pml
@@ -0,0 +1,7 @@
+/* Two hosts, a crash and a cut. */
+#define PAUSES 0
+#define CRASHES 1
+#define CUTS 1
+#define LATER 0
+#define LAST 2
+#include "manifest.inc"
--- /dev/null
+++ b/spec/manifest.broken-exclusion.pml
@@ -0,0 +1,8 @@
+/* A silent host is left out at once. */
+#define BROKEN_EXCLUSION
+#define PAUSES 1
+#define CRASHES 0
+#define CUTS 1
+#define LATER 0
+#define LAST 2
+#include "manifest.inc"
--- /dev/null
+++ b/spec/manifest.broken-gap.pml
@@ -0,0 +1,8 @@
+/* A path that works counts after a gap. */
+#define BROKEN_GAP
+#define PAUSES 1
+#define CRASHES 1
+#define CUTS 2
+#define LATER 0
+#define LAST 2
+#include "manifest.inc"
--- /dev/null
+++ b/spec/manifest.broken-stranger.pml
@@ -0,0 +1,8 @@
+/* A host is left out by one that it never met. */
+#define BROKEN_STRANGER
+#define PAUSES 0
+#define CRASHES 0
+#define CUTS 2
+#define LATER 1
+#define LAST 2
+#include "manifest.inc"
--- /dev/null
+++ b/spec/push.broken-answer.pml
@@ -0,0 +1,3 @@
+/* After a lost answer the pusher says NotAccepted. */
+#define BROKEN_ANSWER
+#include "push.inc"
--- /dev/null
+++ b/spec/push.broken-token.pml
@@ -0,0 +1,3 @@
+/* Staging without a condition on the record. */
+#define BROKEN_TOKEN
+#include "push.inc"
--- /dev/null
+++ b/spec/push.pml
@@ -0,0 +1,2 @@
+/* Pushes of a manifest: see push.inc. */
+#include "push.inc"
