--- a/internal/tools/cohere/book.go
+++ b/internal/tools/cohere/book.go
@@ -165,8 +165,8 @@
 func (r Report) String() string {
 	var s strings.Builder
 	per := float64(max(1, r.Requests))
-	fmt.Fprintf(&s, "%s hosts=%d servers=%d bundle=%dms: %d requests, %.2f messages and %.0f bytes each, %.0f us of processor each\n",
-		r.Options.Way, r.Options.Hosts, r.Options.Servers, r.Options.BundleWait, r.Requests,
+	fmt.Fprintf(&s, "%s hosts=%d servers=%d bundle=%dms keeper lost=%t: %d requests, %.2f messages and %.0f bytes each, %.0f us of processor each\n",
+		r.Options.Way, r.Options.Hosts, r.Options.Servers, r.Options.BundleWait, r.Options.LoseKeeper, r.Requests,
 		float64(r.Messages)/per, float64(r.Bytes)/per, float64(r.Processor.Microseconds())/per)
 	fmt.Fprintf(&s, "  over slots %d times, at most by %d; inverted %d; idle while waiting %.2f%%\n",
 		r.Over, r.MostOver, r.Inverted, 100*r.Idle)
--- a/internal/tools/cohere/cohere.go
+++ b/internal/tools/cohere/cohere.go
@@ -53,6 +53,9 @@
 	Seed       uint64
 	// Seconds is the length of each of the three parts of the script.
 	Seconds int
+	// LoseKeeper crashes the host that keeps the first group, a second into
+	// the crest. The others learn of it learnWait later, as from heartbeats.
+	LoseKeeper bool
 }
 
 // The script's loads as shares of the capacity, one for each part.
@@ -68,6 +71,7 @@
 	flight      = 20 * time.Millisecond // a wait that no message explains
 	sampleEvery = 5 * time.Millisecond
 	tierCount   = 3
+	learnWait   = 1600 * time.Millisecond
 )
 
 // tierShares is the share of each tier in the arrivals.
@@ -154,6 +158,9 @@
 	stop := make(chan struct{})
 	open.Go(func() { d.book.sample(stop) })
 	start := time.Now()
+	if d.options.LoseKeeper {
+		open.Go(func() { d.loseKeeper(start.Add(time.Duration(d.options.Seconds+1) * time.Second)) })
+	}
 	var requests sync.WaitGroup
 	for i, a := range arrivals(d.options) {
 		time.Sleep(time.Until(start.Add(a.at)))
@@ -165,7 +172,7 @@
 }
 
 func (d *domain) request(ctx context.Context, number int, a arrival) {
-	n := d.nodes[a.host]
+	n, ctx := d.entry(ctx, a.host)
 	id := fmt.Sprintf("request-%d", number)
 	now := n.Clock.Now()
 	asked := time.Now()
@@ -179,7 +186,10 @@
 		return
 	}
 	d.book.granted(number, a, grant, time.Since(asked))
-	time.Sleep(a.hold)
+	select {
+	case <-time.After(a.hold):
+	case <-ctx.Done():
+	}
 	d.book.ended(grant.Server)
 	n.Done(sched.Done{Progress: sched.Progress{ID: id, Tokens: 1, FirstToken: 1}, Outcome: sched.OutcomeDone})
 }
--- a/internal/tools/cohere/cohere_test.go
+++ b/internal/tools/cohere/cohere_test.go
@@ -31,9 +31,11 @@
 		{Way: WayWhole},
 		{Way: WayGroup, BundleWait: 1},
 		{Way: WayGroup, BundleWait: 2},
+		{Way: WayGroup, LoseKeeper: true},
+		{Way: WayWhole, LoseKeeper: true},
 	} {
 		o.Hosts, o.Servers, o.Slots, o.Seed, o.Seconds = 7, 10, 8, 1, 6
-		b.Run(fmt.Sprintf("%s/bundle=%d", o.Way, o.BundleWait), func(b *testing.B) {
+		b.Run(fmt.Sprintf("%s/bundle=%d/lose=%t", o.Way, o.BundleWait, o.LoseKeeper), func(b *testing.B) {
 			for range b.N {
 				r, err := Run(context.Background(), o)
 				if err != nil {
--- a/internal/tools/cohere/domain.go
+++ b/internal/tools/cohere/domain.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
+	"time"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
@@ -29,11 +32,19 @@
 	links     []*link.Node
 	addresses map[string]string
 	book      *book
+	live      []hosts.Host
+
+	mu   sync.Mutex
+	lost string
+	ends map[string]context.CancelFunc
+	ctxs map[string]context.Context
 }
 
 func newDomain(ctx context.Context, o Options) (*domain, error) {
-	d := &domain{options: o, addresses: map[string]string{}, book: newBook(o)}
-	var all []hosts.Host
+	d := &domain{
+		options: o, addresses: map[string]string{}, book: newBook(o),
+		ends: map[string]context.CancelFunc{}, ctxs: map[string]context.Context{},
+	}
 	for i := range o.Hosts {
 		name := fmt.Sprintf("host-%d", i)
 		l, err := d.open(name)
@@ -41,9 +52,11 @@
 			return nil, err
 		}
 		d.addresses[name] = l.Addr()
-		all = append(all, hosts.Host{Name: name, FailureDomain: domainName, Incarnation: 1, State: hosts.StateAlive})
+		d.ctxs[name], d.ends[name] = context.WithCancel(ctx)
+		d.live = append(d.live, hosts.Host{Name: name, FailureDomain: domainName, Incarnation: 1, State: hosts.StateAlive})
 	}
 	for i, l := range d.links {
+		ctx := d.ctxs[l.Name]
 		if err := l.Start(ctx); err != nil {
 			return nil, err
 		}
@@ -51,11 +64,42 @@
 		go func() { _ = d.nodes[i].Run(ctx) }() // ends with the context
 	}
 	for _, n := range d.nodes {
-		n.ViewChanged(hosts.NewView(1, all...))
+		n.ViewChanged(hosts.NewView(1, d.live...))
 	}
 	return d, nil
 }
 
+// entry returns the host that a request comes to, and the context that ends
+// with that host. The balancer sends nothing to a host that is gone.
+func (d *domain) entry(ctx context.Context, at int) (*keep.Node, context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.nodes[at]
+	if n.Name == d.lost {
+		n = d.nodes[(at+1)%len(d.nodes)]
+	}
+	if of, ok := d.ctxs[n.Name]; ok {
+		ctx = of
+	}
+	return n, ctx
+}
+
+func (d *domain) loseKeeper(at time.Time) {
+	keeper, _ := hosts.Winner(service+"/"+domainName+"/0", d.live)
+	time.Sleep(time.Until(at))
+	d.mu.Lock()
+	d.lost = keeper.Name
+	d.mu.Unlock()
+	d.ends[keeper.Name]()
+	time.Sleep(learnWait)
+	left := slices.DeleteFunc(slices.Clone(d.live), func(h hosts.Host) bool { return h.Name == keeper.Name })
+	for _, n := range d.nodes {
+		if n.Name != keeper.Name {
+			n.ViewChanged(hosts.NewView(2, left...))
+		}
+	}
+}
+
 func (d *domain) open(name string) (*link.Node, error) {
 	counters := count.NewSet()
 	l := &link.Node{
