A server on trial has one slot; orders go through one package

Cause: TestLostServer failed after the rule came in that a server which turns slow goes on below its load: a lost server on trial was taken for a slow one and kept a quarter of its slots after it had recovered. Orders over HTTP stood twice. After: the trial is a limit of one slot, not a weight; serve/orders is used. Conclusion: losing a server and being slow are told apart.

--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -201,7 +201,6 @@
 func (d *Decider) judge(now clock.Millis, done sched.Done) {
 	v := d.running[done.ID]
 	if v != nil && d.health.ended(now, v.server, done.Outcome) {
-		d.weigh(now)
 		d.group.SetServers(now, d.health.apply(d.servers))
 	}
 }
@@ -247,8 +246,7 @@
 	d.group.Tick(now)
 }
 
-// weigh sets the share of its slots that each server keeps. It comes before a
-// change of states, so that a server on trial is not filled by that change.
+// weigh sets the share of its slots that each server keeps.
 func (d *Decider) weigh(now clock.Millis) {
 	for _, s := range d.servers {
 		d.group.SetWeight(now, s.Name, d.Weight(now, s.Name))
@@ -278,5 +276,5 @@
 
 // Weight is the share of its slots that a server keeps, 1 if it is not slow.
 func (d *Decider) Weight(now clock.Millis, server string) float64 {
-	return d.health.weight(server, d.tracker.Weight(now, server))
+	return d.tracker.Weight(now, server)
 }
--- a/internal/policy/decide/health.go
+++ b/internal/policy/decide/health.go
@@ -34,8 +34,8 @@
 	// could be reached, so that one request that fails everywhere does not
 	// take the servers out of use.
 	strikes = 3
-	// trialWeight leaves a server on trial one slot.
-	trialWeight = 0
+	// trialSlots is how many requests a server on trial runs at a time.
+	trialSlots = 1
 )
 
 // health is what is believed of each server.
@@ -117,27 +117,25 @@
 	},
 }
 
-// apply returns the servers with a suspected one marked. A state other than Up
-// stays, since the list and the probes know more.
+// apply returns the servers with a suspected one marked, and one on trial left
+// a single slot. A state other than Up stays, since the list and the probes
+// know more.
 func (h *health) apply(list []sched.Server) []sched.Server {
 	marked := make([]sched.Server, len(list))
 	for i, s := range list {
-		if s.State == sched.ServerUp && h.at(s.Name).state == stateSuspect {
-			s.State = sched.ServerSuspect
+		switch h.at(s.Name).state {
+		case stateSuspect:
+			if s.State == sched.ServerUp {
+				s.State = sched.ServerSuspect
+			}
+		case stateTrial:
+			s.Slots = min(s.Slots, trialSlots)
 		}
 		marked[i] = s
 	}
 	return marked
 }
 
-// weight bounds the share of its slots that a server keeps.
-func (h *health) weight(server string, weight float64) float64 {
-	if h.at(server).state == stateTrial {
-		return trialWeight
-	}
-	return weight
-}
-
 func (h *health) forget(server string) {
 	delete(h.servers, server)
 }
--- a/internal/serve/hostd/orders.go
+++ b/internal/serve/hostd/orders.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-
-	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/plat/roll"
-	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/serve/orders"
 	"siskinsaddle/internal/share/hosts"
 	"siskinsaddle/internal/share/lease"
 	"siskinsaddle/internal/share/mfest"
@@ -25,11 +21,6 @@
 	orderEvery = clock.Second
 	// dutyEvery is the time between two looks at who leads the orders.
 	dutyEvery = clock.Second
-	// orderWait bounds one request to an engine.
-	orderWait  = 2 * clock.Second
-	ordersPath = "/orders"
-	statePath  = "/state"
-	stateBytes = 1 << 20
 )
 
 // leader gives one service's engines in this failure domain their orders.
@@ -97,13 +88,14 @@
 			Margin:      leaseMargin,
 		},
 	}
+	engines := &orders.Engines{Client: h.client}
 	driver := &order.Driver{
 		Clock:         h.Clock,
 		Count:         h.Count,
 		Holds:         l.lease.Holds,
 		Wants:         func() []order.Want { return h.wants(s.Name) },
-		Read:          h.readState,
-		Send:          h.sendOrder,
+		Read:          engines.Read,
+		Send:          engines.Send,
 		ChecksFencing: s.ChecksFencing,
 		LongestOrder:  h.Settings.Orders.LongestMilliseconds,
 		Every:         orderEvery,
@@ -145,52 +137,3 @@
 	}
 	return all
 }
-
-// readState asks an engine for its state.
-func (h *Host) readState(ctx context.Context, w order.Want) (order.State, error) {
-	var s order.State
-	answer, err := h.askEngine(ctx, wire.Request{Address: w.Address, Method: "GET", Path: statePath})
-	if err != nil {
-		return s, err
-	}
-	err = json.Unmarshal(answer.body, &s)
-	return s, errors.Wrapf(err, "state of %s", w.Server)
-}
-
-const statusConflict = 409
-
-// sendOrder gives an engine one order, once.
-func (h *Host) sendOrder(ctx context.Context, w order.Want, o order.Order) error {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return errors.Wrap(err, "order")
-	}
-	answer, err := h.askEngine(ctx, wire.Request{Address: w.Address, Method: "POST", Path: ordersPath, Body: body})
-	switch {
-	case err != nil:
-		return err
-	case answer.status == statusConflict:
-		return order.ErrStale
-	case answer.status >= 300:
-		return errors.Newf("%s answered an order with status %d", w.Server, answer.status)
-	}
-	h.Log.WithPrefix("orders").Info("Gave an order.", "server", w.Server, "kind", o.Kind, "model", o.Model, "version", o.Version)
-	return nil
-}
-
-type engineAnswer struct {
-	status int
-	body   []byte
-}
-
-func (h *Host) askEngine(ctx context.Context, r wire.Request) (engineAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderWait.Duration())
-	defer cancel()
-	answer, _, err := h.client.Do(ctx, r)
-	if err != nil {
-		return engineAnswer{}, err
-	}
-	defer func() { _ = answer.Body.Close() }() // the answer is read
-	body, err := io.ReadAll(io.LimitReader(answer.Body, stateBytes))
-	return engineAnswer{status: answer.Status, body: body}, err
-}
