News of a death reaches every failure domain

TestViewsAgreeInTheEnd, hosts that crash, restart, leave and are cut at random, failed after 7 cases: beats within a domain used up the news before a far beat came, and the whole view that a host fetches when hashes differ left out the dead.

--- a/internal/share/hosts/core.go
+++ b/internal/share/hosts/core.go
@@ -68,6 +68,8 @@
 	JoinWait = clock.Second
 	// maxRumors is the most news on one beat or reply.
 	maxRumors = 10
+	// farRumors is for how many far beats news is passed on to other domains.
+	farRumors = 3
 	// rumorFactor times the binary logarithm of the hosts is how often news is
 	// passed on.
 	rumorFactor = 3
@@ -121,6 +123,7 @@
 	synced  clock.Millis // when a whole view was last asked for
 	asked   bool         // it was asked for since the start
 	joined  bool         // as in View
+	ticked  clock.Millis // when time last passed
 	listed  clock.Millis // when the sources were first read, 0 for not yet
 	actions []action
 }
--- a/internal/share/hosts/core_test.go
+++ b/internal/share/hosts/core_test.go
@@ -1,10 +1,15 @@
 package hosts
 
 import (
+	"flag"
 	"fmt"
+	"maps"
+	"os"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/share/link"
@@ -35,23 +40,14 @@
 // run lets time pass in steps of 50 ms and carries out the actions.
 func (g *group) run(duration clock.Millis) {
 	for end := g.now + duration; g.now < end; g.now += 50 {
-		for _, name := range names(len(g.cores)) {
-			if c, ok := g.cores[name]; ok {
-				c.tick(g.now)
-				g.perform(name, c)
-			}
+		for _, name := range slices.Sorted(maps.Keys(g.cores)) {
+			c := g.cores[name]
+			c.tick(g.now)
+			g.perform(name, c)
 		}
 	}
 }
 
-func names(count int) []string {
-	var all []string
-	for i := range count + 1 {
-		all = append(all, fmt.Sprintf("host-%02d", i))
-	}
-	return all
-}
-
 func (g *group) perform(name string, c *core) {
 	for _, a := range c.take() {
 		peer, up := g.cores[a.Peer]
@@ -69,7 +65,7 @@
 			c.closing(g.now, a.Peer, &reply)
 		case actionSync:
 			if open {
-				c.whole(g.now, peer.view.Hosts())
+				c.whole(g.now, peer.everything())
 			}
 		}
 		c.refresh()
@@ -195,6 +191,62 @@
 	c.Assert(ok && g.now-at <= core.timing.Want+50, qt.IsTrue, qt.Commentf("%d at %d", at, g.now))
 }
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// TestViewsAgreeInTheEnd lets hosts crash, restart and be cut from each other,
+// then nothing more: all hosts hold the same view, of exactly those that live.
+func TestViewsAgreeInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(append(domainOf(rapid.IntRange(2, 14).Draw(t, "hosts"), "prairie-a"), "prairie-b", "prairie-b")...)
+		var listed []Host
+		for _, name := range slices.Sorted(maps.Keys(g.cores)) {
+			listed = append(listed, g.cores[name].self)
+		}
+		cut := map[[2]string]bool{}
+		g.cut = func(from, to string) bool { return cut[[2]string{from, to}] }
+		for incarnation := range rapid.Int64Range(1, 10).Draw(t, "steps") {
+			host := rapid.SampledFrom(listed).Draw(t, "host")
+			switch rapid.SampledFrom([]string{"crash", "restart", "cut", "leave", "sync"}).Draw(t, "what") {
+			case "crash":
+				delete(g.cores, host.Name)
+			case "restart":
+				host.Incarnation = incarnation + 2
+				g.cores[host.Name] = newCore(host, DefaultTiming())
+				g.cores[host.Name].list(g.now, listed)
+			case "cut":
+				other := rapid.SampledFrom(listed).Draw(t, "other")
+				cut[[2]string{host.Name, other.Name}] = true
+			case "leave":
+				if core, ok := g.cores[host.Name]; ok {
+					core.leave(StateLeaving)
+					g.perform(host.Name, core)
+				}
+			case "sync":
+				cut = map[[2]string]bool{}
+			}
+			g.run(clock.Millis(rapid.IntRange(50, 3000).Draw(t, "run")))
+		}
+		cut = map[[2]string]bool{}
+		g.run(30 * clock.Second)
+		for name, core := range g.cores {
+			if len(core.view.hosts) != len(g.cores) {
+				t.Fatalf("%s holds %v, %d live", name, core.view.hosts, len(g.cores))
+			}
+			for _, h := range core.view.hosts {
+				if self := g.cores[h.Name].self; h != self {
+					t.Fatalf("%s holds %v, which says %v", name, h, self)
+				}
+			}
+		}
+	})
+}
+
 func TestWinnersSpread(t *testing.T) {
 	c := qt.New(t)
 	g := newGroup(domainOf(7, "prairie-a")...)
--- a/internal/share/hosts/tick.go
+++ b/internal/share/hosts/tick.go
@@ -18,6 +18,7 @@
 // tick lets time pass: beats that are due, peers that went unheard, suspicions
 // that ran out, and attempts to reach hosts that only the sources name.
 func (c *core) tick(now clock.Millis) {
+	c.ticked = now
 	attempts := 0
 	for _, name := range c.names() {
 		m := c.members[name]
@@ -186,7 +187,10 @@
 // rumor is news with the number of times it is still passed on.
 type rumor struct {
 	host Host
-	left int
+	left int // in this host's domain
+	// until is how long it is passed on to other domains: their beats are
+	// rare, and those of the own domain would use it up before.
+	until clock.Millis
 }
 
 // spread begins to pass news on and drops older news of the same host.
@@ -198,7 +202,7 @@
 		}
 	}
 	times := rumorFactor * (1 + bits.Len(uint(len(c.members))))
-	c.rumors = append(kept, rumor{host: h, left: times})
+	c.rumors = append(kept, rumor{host: h, left: times, until: c.ticked + farRumors*c.timing.Far})
 }
 
 // news returns what a beat or reply to a peer carries: the rumors passed on
@@ -209,13 +213,16 @@
 		news = append(news, m.Host)
 	}
 	sort.SliceStable(c.rumors, func(i, j int) bool { return c.rumors[i].left > c.rumors[j].left })
+	far := c.isFar(to)
 	kept := c.rumors[:0]
 	for _, r := range c.rumors {
-		if len(news) < maxRumors && r.host.Name != to {
+		if len(news) < maxRumors && r.host.Name != to && (far || r.left > 0) {
 			news = append(news, r.host)
-			r.left--
+			if !far {
+				r.left--
+			}
 		}
-		if r.left > 0 {
+		if r.left > 0 || c.ticked < r.until {
 			kept = append(kept, r)
 		}
 	}
@@ -223,6 +230,23 @@
 	return news
 }
 
+func (c *core) isFar(name string) bool {
+	m, ok := c.members[name]
+	return ok && m.FailureDomain != c.self.FailureDomain
+}
+
+// everything returns all that this host holds, the dead as well: their deaths
+// may be what the other has not heard of.
+func (c *core) everything() []Host {
+	all := []Host{c.self}
+	for _, name := range c.names() {
+		if m := c.members[name]; m.contacted {
+			all = append(all, m.Host)
+		}
+	}
+	return all
+}
+
 // compare takes the hash of a peer's view and asks for the whole view: at once
 // from the first peer after the start, later when the two have differed for a
 // while, since news can be lost.
--- a/internal/share/hosts/wire.go
+++ b/internal/share/hosts/wire.go
@@ -171,7 +171,9 @@
 }
 
 func (n *Node) onView(context.Context, link.Peer, []byte) (any, error) {
-	return &wholeView{Hosts: n.View().Hosts()}, nil
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &wholeView{Hosts: n.core.everything()}, nil
 }
 
 // sync fetches all that a peer holds.
