--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -22,8 +22,8 @@
 	// pollIdleEvery is how often the other hosts read the platform themselves.
 	pollIdleEvery = 5 * clock.Second
 	// staleAfter is the age of knowledge at which a host verifies it itself.
-	staleAfter  = clock.Second
-	checkEvery  = 500 * clock.Millis(1)
+	staleAfter  = 1200 * clock.Millis(1)
+	checkEvery  = 400 * clock.Millis(1)
 	callWait    = 700 * clock.Millis(1)
 	rosterEvery = 10 * clock.Second
 	helloEvery  = clock.Second
