Answers that have begun are completed: never shed, with a floor of their own

Also NotRepeatable did not reach the keeper, so that a call that may run once only could be a probe.

--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -251,7 +251,8 @@
 // change of states, so that a server on trial is not filled by that change.
 func (d *Decider) weigh(now clock.Millis) {
 	for _, s := range d.servers {
-		d.group.SetWeight(now, s.Name, d.Weight(now, s.Name))
+		d.group.SetWeight(s.Name, d.health.weight(s.Name, 1))
+		d.group.SetSpeed(now, s.Name, d.tracker.Weight(now, s.Name))
 	}
 }
 
--- a/internal/policy/sched/class.go
+++ b/internal/policy/sched/class.go
@@ -9,9 +9,18 @@
 // DefaultFloorPeriod holds for a class that declares none.
 const DefaultFloorPeriod = 10 * clock.Second
 
-// class is the waiting work of one class.
+// classKey names the work of a class whose answers have begun elsewhere, or
+// the rest of it.
+type classKey struct {
+	name  string
+	begun bool
+}
+
+// class is the waiting work of a classKey. The two parts of a class have a floor
+// each, so that broken answers are completed without cost to new requests.
 type class struct {
 	Class
+	begun   bool
 	tier    *tier
 	waiting int
 	// unserved is since when the class has had waiting work and no grant.
@@ -27,11 +36,11 @@
 	backlogs map[string]*backlog
 }
 
-func newClass(c Class, t *tier) *class {
+func newClass(c Class, begun bool, t *tier) *class {
 	if c.FloorPeriod <= 0 {
 		c.FloorPeriod = DefaultFloorPeriod
 	}
-	n := &class{Class: c, tier: t, byKey: map[laneKey]*lane{}, backlogs: map[string]*backlog{}}
+	n := &class{Class: c, begun: begun, tier: t, byKey: map[laneKey]*lane{}, backlogs: map[string]*backlog{}}
 	n.heaviest.less = heavier
 	n.heaviest.place = func(b *backlog) *int { return &b.place }
 	t.classes = append(t.classes, n)
@@ -95,10 +104,10 @@
 	return oldest
 }
 
-// buildTiers returns the classes by name and the tiers, the most urgent first.
-func buildTiers(classes []Class) (map[string]*class, []*tier) {
+// buildTiers returns the classes by key and the tiers, the most urgent first.
+func buildTiers(classes []Class) (map[classKey]*class, []*tier) {
 	byNumber := map[int]*tier{}
-	byName := map[string]*class{}
+	byKey := map[classKey]*class{}
 	var tiers []*tier
 	for _, c := range classes {
 		t := byNumber[c.Tier]
@@ -107,8 +116,10 @@
 			byNumber[c.Tier] = t
 			tiers = append(tiers, t)
 		}
-		byName[c.Name] = newClass(c, t)
+		for _, begun := range []bool{false, true} {
+			byKey[classKey{name: c.Name, begun: begun}] = newClass(c, begun, t)
+		}
 	}
 	sort.Slice(tiers, func(i, j int) bool { return tiers[i].number < tiers[j].number })
-	return byName, tiers
+	return byKey, tiers
 }
--- a/internal/policy/sched/dispatch.go
+++ b/internal/policy/sched/dispatch.go
@@ -108,7 +108,7 @@
 	if r.Spilled {
 		r.server.spilled--
 	}
-	g.class(r.Class).observeHold(now - r.granted)
+	g.class(r.Request).observeHold(now - r.granted)
 }
 
 // observe takes a progress report: work that has grown long counts as long
@@ -119,5 +119,5 @@
 		r.server.long++
 	}
 	s := r.server
-	s.slots.observe(now, p.BetweenTokens, g.class(r.Class).BetweenTokensTarget, s.running >= s.slots.limit())
+	s.slots.observe(now, p.BetweenTokens, g.class(r.Request).BetweenTokensTarget, s.running >= s.slots.limit())
 }
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -13,7 +13,7 @@
 type Group struct {
 	settings Settings
 	weights  map[string]int
-	classes  map[string]*class
+	classes  map[classKey]*class
 	tiers    []*tier
 	servers  []*server
 	byName   map[string]*server
@@ -126,9 +126,18 @@
 
 // SetWeight leaves a server this share of its slots, from 0 to 1, and at least
 // one. It counts from the next step on.
-func (g *Group) SetWeight(now clock.Millis, name string, weight float64) {
+func (g *Group) SetWeight(name string, weight float64) {
 	if s := g.byName[name]; s != nil {
-		s.slots.weigh(now, weight, s.running)
+		s.slots.weight = weight
+	}
+}
+
+// SetSpeed is SetWeight for a server that is slower than its siblings. As its
+// own load may be the cause, the server goes on below what it ran then, and
+// grows back by small steps.
+func (g *Group) SetSpeed(now clock.Millis, name string, weight float64) {
+	if s := g.byName[name]; s != nil {
+		s.slots.slow(now, weight, s.running)
 	}
 }
 
--- a/internal/policy/sched/queue.go
+++ b/internal/policy/sched/queue.go
@@ -81,6 +81,9 @@
 
 // serviceBefore tells whether a's head is served before b's head.
 func serviceBefore(a, b *queue) bool {
+	if a.lane.class.begun != b.lane.class.begun {
+		return a.lane.class.begun
+	}
 	if a.share.over != b.share.over {
 		return b.share.over
 	}
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -12,8 +12,9 @@
 //
 //  1. the class whose floor is due: it has waiting work and has been given no
 //     slot for half of its FloorPeriod. The most overdue class goes first.
-//  2. the most urgent tier. Within the tier, requests of workspaces that hold
-//     more than their fair share of the tier's slots go behind the others.
+//  2. the most urgent tier. Within the tier, requests whose answer has begun
+//     elsewhere go first, and requests of workspaces that hold more than their
+//     fair share of the tier's slots go behind the others.
 //     Among these, requests that can still meet their deadline go first, by
 //     the time at which they must start. Late ones follow, the least late
 //     first, so that a request whose target is lost does not cost the next
@@ -32,7 +33,8 @@
 // given a slot within twice its target even if nothing more arrived. Both shed
 // by tier alone: the request comes from the lowest tier that has a class with
 // more than one waiting request. The one request that each class keeps is what
-// its floor is given to. While a tier has requests that have waited past twice
+// its floor is given to. A request whose answer has begun is not shed and does
+// not count. While a tier has requests that have waited past twice
 // their target, the tiers below it shed until that one may: they would not be
 // reached before it.
 //
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -13,11 +13,12 @@
 
 // lowest returns the class that sheds next: in the lowest tier that has a
 // class with more than one waiting request, the class with the most of them.
+// Requests whose answer has begun do not count.
 func (g *Group) lowest() *class {
 	for i := len(g.tiers) - 1; i >= 0; i-- {
 		var most *class
 		for _, c := range g.tiers[i].classes {
-			if c.waiting > keptWaiting && (most == nil || c.waiting > most.waiting) {
+			if !c.begun && c.waiting > keptWaiting && (most == nil || c.waiting > most.waiting) {
 				most = c
 			}
 		}
@@ -32,8 +33,8 @@
 // may outgrow its own bound while lower tiers wait, since then it may not be
 // shed, but all together may not outgrow the sum of the bounds.
 func (g *Group) bound(now clock.Millis, e *entry) {
-	c := g.class(e.Class)
-	if c.MaxWaiting <= 0 {
+	c := g.class(e.Request)
+	if c.begun || c.MaxWaiting <= 0 {
 		return
 	}
 	low := g.lowest()
@@ -73,7 +74,7 @@
 			return false
 		}
 		for _, c := range t.classes {
-			if c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
+			if !c.begun && c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
 				return true
 			}
 		}
@@ -100,7 +101,7 @@
 // retryAfter is when the work that waits ahead of the request will be gone, or
 // 0 while no request has ended yet.
 func (g *Group) retryAfter(r Request) clock.Millis {
-	wait := g.waitEstimate(g.class(r.Class).tier)
+	wait := g.waitEstimate(g.class(r).tier)
 	if wait == 0 {
 		return 0
 	}
--- a/internal/policy/sched/slots.go
+++ b/internal/policy/sched/slots.go
@@ -28,8 +28,10 @@
 type slots struct {
 	most    int
 	current float64
-	// weight is the share of the limit that a slow server keeps.
+	// weight and speed are the shares of the limit that are left to a server on
+	// trial and to a slow one.
 	weight float64
+	speed  float64
 	// grown is when the limit last grew after the server was slow.
 	grown clock.Millis
 	// ratio is the smoothed time between tokens over its target.
@@ -38,14 +40,14 @@
 }
 
 func newSlots(most int, now clock.Millis) slots {
-	return slots{most: most, current: float64(most), weight: 1, changed: now}
+	return slots{most: most, current: float64(most), weight: 1, speed: 1, changed: now}
 }
 
 func (s *slots) limit() int {
 	if s.most == 0 {
 		return 0
 	}
-	return max(1, int(s.current*s.weight))
+	return max(1, int(s.current*min(s.weight, s.speed)))
 }
 
 // resize takes a new number of slots and keeps the limit's share of it.
@@ -67,15 +69,15 @@
 	s.current = min(float64(s.most), max(lowest, s.current))
 }
 
-// weigh takes the share that the server's speed leaves it. A server that turns
+// slow takes the share that the server's speed leaves it. A server that turns
 // slow may do so because of its own load: it goes on below what it ran then,
 // and the limit grows back by small steps, only while it is reached.
-func (s *slots) weigh(now clock.Millis, weight float64, running int) {
-	if weight < 1 && s.weight >= 1 {
+func (s *slots) slow(now clock.Millis, weight float64, running int) {
+	if weight < 1 && s.speed >= 1 {
 		s.current = min(s.current, slotsBelow*float64(running))
 		s.clamp()
 	}
-	s.weight = weight
+	s.speed = weight
 	if weight < 1 || running < s.limit() {
 		s.grown = now
 		return
--- a/internal/policy/sched/spilled.go
+++ b/internal/policy/sched/spilled.go
@@ -6,7 +6,7 @@
 // it: it never waits, and it is granted only while no local request waits.
 func (g *Group) offerSpilled(now clock.Millis, r Request) {
 	g.updateReserve(now)
-	n := need{model: r.Model, tier: g.class(r.Class).Tier, long: g.isLong(r.PredictedTokens), avoid: r.Avoid}
+	n := need{model: r.Model, tier: g.class(r).Tier, long: g.isLong(r.PredictedTokens), avoid: r.Avoid}
 	if len(g.waiting) > 0 || !g.spillRoom() || len(g.candidates(n)) == 0 {
 		g.refuse(r, ReasonNoSpill)
 		return
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -26,6 +26,9 @@
 	Prefix uint64
 	// Spilled tells that the request comes from another failure domain.
 	Spilled bool
+	// Begun tells that part of the answer has reached the caller. The request
+	// goes ahead of others of its tier and is never shed.
+	Begun bool
 	// NotRepeatable tells that the request may be sent once only, so that it
 	// is not used to probe a slow server.
 	NotRepeatable bool
--- a/internal/policy/sched/waiting.go
+++ b/internal/policy/sched/waiting.go
@@ -6,10 +6,11 @@
 	"siskinsaddle/internal/base/clock"
 )
 
-// class returns the class by name. One that the settings do not name is made
-// and goes behind all others.
-func (g *Group) class(name string) *class {
-	if c := g.classes[name]; c != nil {
+// class returns a request's class. One that the settings do not name is made and
+// goes behind all others.
+func (g *Group) class(r Request) *class {
+	key := classKey{name: r.Class, begun: r.Begun}
+	if c := g.classes[key]; c != nil {
 		return c
 	}
 	last := 0
@@ -17,16 +18,17 @@
 		last = g.tiers[n-1].number
 	}
 	t := &tier{number: last + 1, shares: map[string]*share{}}
-	c := newClass(Class{Name: name, Tier: t.number}, t)
 	g.tiers = append(g.tiers, t)
-	g.classes[name] = c
-	return c
+	for _, begun := range []bool{false, true} {
+		g.classes[classKey{name: r.Class, begun: begun}] = newClass(Class{Name: r.Class, Tier: t.number}, begun, t)
+	}
+	return g.classes[key]
 }
 
 func (g *Group) weight(workspace string) int { return max(1, g.weights[workspace]) }
 
 func (g *Group) shareOf(r Request) *share {
-	return g.class(r.Class).tier.share(r.Workspace, g.weight(r.Workspace))
+	return g.class(r).tier.share(r.Workspace, g.weight(r.Workspace))
 }
 
 func (g *Group) isLong(tokens int) bool {
@@ -36,7 +38,7 @@
 // add puts an entry into the queue of its workspace, and that queue into the
 // heaps it belongs to.
 func (g *Group) add(now clock.Millis, e *entry) {
-	c := g.class(e.Class)
+	c := g.class(e.Request)
 	q := g.queueFor(c, e.Request)
 	e.queue = q
 	q.insert(e, now)
--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -100,6 +100,7 @@
 func (c *Calls) Do(ctx context.Context, call Call) (Answer, *refuse.Refusal) {
 	for number := 1; ; number++ {
 		request := call.Request
+		request.NotRepeatable = !call.Repeatable
 		request.ID += "." + strconv.Itoa(number)
 		grant, refusal := c.Ask(ctx, request)
 		if refusal != nil {
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -74,6 +74,7 @@
 	request := a.stream.job.Request
 	request.ID = attemptID(request.ID, a.number)
 	request.Avoid = a.avoid
+	request.Begun = a.offset > 0
 	grant, refusal := a.stream.relay.Ask(a.ctx, request)
 	if refusal != nil {
 		a.fail(note{kind: noteRefused, refusal: refusal})
--- a/internal/share/keep/packet.go
+++ b/internal/share/keep/packet.go
@@ -41,6 +41,8 @@
 	PredictedTokens int
 	Prefix          uint64
 	Spilled         bool
+	Begun           bool
+	NotRepeatable   bool
 	Avoid           []string
 }
 
@@ -123,6 +125,7 @@
 		Age: now - r.Arrived, Due: r.Deadline - now, Left: r.GiveUp - now,
 		PromptTokens: r.PromptTokens, PredictedTokens: r.PredictedTokens,
 		Prefix: r.Prefix, Spilled: r.Spilled, Avoid: r.Avoid,
+		Begun: r.Begun, NotRepeatable: r.NotRepeatable,
 	}
 }
 
@@ -133,6 +136,7 @@
 		Arrived: now - m.Age, Deadline: now + m.Due, GiveUp: now + m.Left,
 		PromptTokens: m.PromptTokens, PredictedTokens: m.PredictedTokens,
 		Prefix: m.Prefix, Spilled: m.Spilled, Avoid: m.Avoid,
+		Begun: m.Begun, NotRepeatable: m.NotRepeatable,
 	}
 }
 
--- a/internal/tools/bench/ask.go
+++ b/internal/tools/bench/ask.go
@@ -54,6 +54,7 @@
 		Avoid:        a.avoid,
 	}
 	if r.got > 0 {
+		f.Begun = true
 		f.Deadline = r.last + r.class.FirstTokenMilliseconds
 		f.GiveUp = r.world.now + r.class.MaxWaitMilliseconds
 	}
