--- a/internal/policy/decide/decide.go
+++ b/internal/policy/decide/decide.go
@@ -249,7 +249,7 @@
 // weigh sets the share of its slots that each server keeps.
 func (d *Decider) weigh(now clock.Millis) {
 	for _, s := range d.servers {
-		d.group.SetWeight(now, s.Name, d.Weight(now, s.Name))
+		d.group.SetSpeed(now, s.Name, d.tracker.Weight(now, s.Name))
 	}
 }
 
