--- a/internal/serve/hostd/orders.go
+++ b/internal/serve/hostd/orders.go
@@ -21,6 +21,8 @@
 	orderEvery = clock.Second
 	// dutyEvery is the time between two looks at who leads the orders.
 	dutyEvery = clock.Second
+	// orderWait bounds one request to an engine.
+	orderWait = 2 * clock.Second
 )
 
 // leader gives one service's engines in this failure domain their orders.
@@ -88,14 +90,13 @@
 			Margin:      leaseMargin,
 		},
 	}
-	engines := &orders.Engines{Client: h.client}
 	driver := &order.Driver{
 		Clock:         h.Clock,
 		Count:         h.Count,
 		Holds:         l.lease.Holds,
 		Wants:         func() []order.Want { return h.wants(s.Name) },
-		Read:          engines.Read,
-		Send:          engines.Send,
+		Read:          h.engines().Read,
+		Send:          h.sendOrder,
 		ChecksFencing: s.ChecksFencing,
 		LongestOrder:  h.Settings.Orders.LongestMilliseconds,
 		Every:         orderEvery,
@@ -137,3 +138,16 @@
 	}
 	return all
 }
+
+// sendOrder gives an engine one order, once, and logs what was given.
+func (h *Host) sendOrder(ctx context.Context, w order.Want, o order.Order) error {
+	err := h.engines().Send(ctx, w, o)
+	if err == nil {
+		h.Log.WithPrefix("orders").Info("Gave an order.", "server", w.Server, "kind", o.Kind, "model", o.Model, "version", o.Version)
+	}
+	return err
+}
+
+func (h *Host) engines() *orders.Engines {
+	return &orders.Engines{Client: h.client, Timeout: orderWait}
+}
