--- a/internal/policy/sched/slots.go
+++ b/internal/policy/sched/slots.go
@@ -28,10 +28,8 @@
 type slots struct {
 	most    int
 	current float64
-	// weight and speed are the shares of the limit that are left to a server on
-	// trial and to a slow one.
-	weight float64
-	speed  float64
+	// speed is the share of the limit that a slow server keeps.
+	speed float64
 	// grown is when the limit last grew after the server was slow.
 	grown clock.Millis
 	// ratio is the smoothed time between tokens over its target.
@@ -40,14 +38,14 @@
 }
 
 func newSlots(most int, now clock.Millis) slots {
-	return slots{most: most, current: float64(most), weight: 1, speed: 1, changed: now}
+	return slots{most: most, current: float64(most), speed: 1, changed: now}
 }
 
 func (s *slots) limit() int {
 	if s.most == 0 {
 		return 0
 	}
-	return max(1, int(s.current*min(s.weight, s.speed)))
+	return max(1, int(s.current*s.speed))
 }
 
 // resize takes a new number of slots and keeps the limit's share of it.
