--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -12,12 +12,13 @@
 //
 //  1. the class whose floor is due: it has waiting work and has been given no
 //     slot for half of its FloorPeriod. The most overdue class goes first.
-//  2. the most urgent tier. Within the tier, requests that can still meet
-//     their deadline go first, and late ones follow, so that a request whose
-//     target is lost does not cost the next one its target too. Among each of
-//     these, requests of workspaces that hold more than their fair share of
-//     the tier's slots go behind the others. Then the time by which they must
-//     start decides: the earliest first, but of late ones the least late.
+//  2. the most urgent tier. Within the tier, requests whose answer has begun
+//     elsewhere go first. Then requests that can still meet their deadline, and
+//     late ones follow, so that a request whose target is lost does not cost
+//     the next one its target too. Among each of these, requests of workspaces
+//     that hold more than their fair share of the tier's slots go behind the
+//     others. Then the time by which they must start decides: the earliest
+//     first, but of late ones the least late.
 //
 // A slot is of no use to a request whose model the server has not loaded, to
 // long work on a server whose slots for long work are taken, and to tiers
@@ -32,7 +33,8 @@
 // given a slot within twice its target even if nothing more arrived. Both shed
 // by tier alone: the request comes from the lowest tier that has a class with
 // more than one waiting request. The one request that each class keeps is what
-// its floor is given to. While a tier has requests that have waited past twice
+// its floor is given to. A request whose answer has begun is not shed and does
+// not count. While a tier has requests that have waited past twice
 // their target, the tiers below it shed until that one may: they would not be
 // reached before it.
 //
