Manifest: hosts of a domain that is taken out serve nothing

Cause: a failure domain that an accepted manifest leaves out is not needed by later pushes, so its hosts could go on under the old one when cut off. Also an exhaustive test that the majority of a left-out host always meets those that acknowledged (domains of two to seven hosts), and one for the removal of old history.

--- a/internal/share/accept/accept_test.go
+++ b/internal/share/accept/accept_test.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/share/mfest"
 )
 
@@ -225,6 +227,43 @@
 	}
 }
 
+func TestDomainThatIsTakenOut(t *testing.T) {
+	c := qt.New(t)
+	w := settled(c, 2, 1)
+	m := manifest(1, 1)
+	m.FailureDomains = m.FailureDomains[:1]
+	u := w.push(m, always)
+	w.run(4 * clock.Second)
+	c.Assert(u.answer.Outcome, qt.Equals, Accepted)
+	w.expect(c, ModeReady, 2, "a-0", "a-1")
+	w.expect(c, ModeNotReady, 2, "b-0")
+}
+
+func TestOldHistoryIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	w := settled(c, 1, 1)
+	p, ctx := w.platform(always), context.Background()
+	current, err := p.Read(ctx)
+	c.Assert(err, qt.IsNil)
+	for i := range int64(historyKept + 2) {
+		r := current
+		r.Number = 2 + i
+		r.Body.Object = fmt.Sprintf("body %d", i/2) // two generations have each body
+		c.Assert(p.putBody(ctx, r.Body, nil), qt.IsNil)
+		c.Assert(p.keepHistory(ctx, r), qt.IsNil)
+	}
+	c.Assert(p.keepHistory(ctx, current), qt.IsNil) // generation 1, whose body is in force
+	c.Assert(p.trimHistory(ctx), qt.IsNil)
+	all, err := p.history(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(all), qt.Equals, historyKept)
+	c.Assert(all[0].Number, qt.Equals, int64(4))
+	_, err = w.objects.Get(ctx, "body 0")
+	c.Assert(err, qt.ErrorIs, object.ErrAbsent)
+	_, err = p.fetch(ctx, current.Body)
+	c.Assert(err, qt.IsNil)
+}
+
 // TestAgainstNaiveReader drives hosts and pushers through random faults. After
 // each step of a host, a request on it is compared with what a naive reader of
 // the record's true history would allow; see world.serve.
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -145,9 +145,9 @@
 // that are no longer of use.
 func (h *Holder) settle(k Knowledge) {
 	old := h.state.Load()
-	next := &state{knowledge: k, current: h.bodies[k.Accepted.Body].index}
+	next := &state{knowledge: k, current: h.governs(h.bodies[k.Accepted.Body].index)}
 	staged, undecided := k.Undecided()
-	other := h.bodies[staged.Body].index
+	other := h.governs(h.bodies[staged.Body].index)
 	switch {
 	case !undecided || next.current == nil || other == nil:
 	case next.current == old.current && old.both != nil && old.knowledge.Staged == staged:
@@ -163,6 +163,16 @@
 	}
 }
 
+// governs returns the index if its manifest has this host's failure domain. The
+// hosts of a domain that a manifest leaves out serve nothing under it, since
+// later generations do not need their confirmation.
+func (h *Holder) governs(x *mfest.Index) *mfest.Index {
+	if x == nil || !x.HasDomain(h.Domain) {
+		return nil
+	}
+	return x
+}
+
 // Wanted returns the bodies that the host should fetch.
 func (h *Holder) Wanted() []Ref {
 	h.mu.Lock()
--- a/internal/share/accept/rules_test.go
+++ b/internal/share/accept/rules_test.go
@@ -76,6 +76,45 @@
 	}
 }
 
+// TestMajorityMeetsAcknowledgements goes through every domain of up to seven
+// hosts: who has acknowledged, who is silent, and who has met the last host,
+// which is silent. Wherever the first host may lead the domain on, the last one
+// must not count itself verified by hosts that did not acknowledge.
+func TestMajorityMeetsAcknowledgements(t *testing.T) {
+	const now = ExclusionWait + 1
+	names := []string{"lead", "b", "c", "d", "e", "f", "last"}
+	led := 0
+	for n := 2; n <= len(names); n++ {
+		last := n - 1
+		for bits := range 1 << (2 * last) {
+			acked := func(i int) bool { return i < last && (i == 0 || bits>>i&1 == 1) }
+			met := func(i int) bool { return bits>>(last+i)&1 == 1 }
+			col := newCollection(7, "lead", append(names[:last:last], "last"))
+			r := newRoster()
+			for i, name := range names[:last] {
+				knows := names[:last]
+				if met(i) {
+					knows = append(knows[:last:last], "last")
+					r.list(append(r.names(), name), "last", 0)
+				}
+				if acked(i) {
+					col.answered(name, TellReply{Acked: 7, Met: knows})
+					continue
+				}
+				col.unanswered(name, 0)
+				r.answered(name, 1)
+			}
+			r.listed = true
+			col.unanswered("last", 0)
+			if v, _ := col.verdict(now, 0); v == verdictConfirm {
+				led++
+				qt.Assert(t, r.verifiedAt(now), qt.Equals, never, qt.Commentf("%d hosts, case %b", n, bits))
+			}
+		}
+	}
+	qt.Assert(t, led > 100, qt.IsTrue)
+}
+
 func TestWhomToCheck(t *testing.T) {
 	c := qt.New(t)
 	order := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
--- a/internal/share/mfest/index.go
+++ b/internal/share/mfest/index.go
@@ -64,6 +64,11 @@
 	return x.Manifest.Workspaces[i], true
 }
 
+// HasDomain tells whether a failure domain is one of the manifest's.
+func (x *Index) HasDomain(name string) bool {
+	return slices.ContainsFunc(x.Manifest.FailureDomains, func(d FailureDomain) bool { return d.Name == name })
+}
+
 // Class returns a class by its name.
 func (x *Index) Class(name string) (Class, bool) {
 	i, ok := x.classes[name]
