Manifest: test of what was verified before a host's start

Cause: two rules of Knowledge.Mode, taken out on a trial copy, were not missed by any test. Now both are. A pusher that cannot read the history also ends in time.

--- a/internal/share/accept/rules_test.go
+++ b/internal/share/accept/rules_test.go
@@ -152,6 +152,21 @@
 	c.Assert(h.Knowledge().Mode(19_500), qt.Equals, ModeNotCurrent)
 }
 
+// TestWhatWasVerifiedBeforeTheStart: before it stopped, the host may have served
+// under a generation that its peers had not heard of.
+func TestWhatWasVerifiedBeforeTheStart(t *testing.T) {
+	c := qt.New(t)
+	k := newKnowledge(1_000).With(Sighting{Accepted: Generation{Number: 1}, VerifiedAt: 900, PlatformAt: 900})
+	c.Assert(k.Mode(1_100), qt.Equals, ModeNotReady)
+	k = k.With(Sighting{VerifiedAt: 1_050, PlatformAt: never})
+	c.Assert(k.Mode(1_100), qt.Equals, ModeReady)
+	k = k.With(Sighting{Staged: Generation{Number: 2}, VerifiedAt: never, PlatformAt: never})
+	c.Assert(k.Mode(1_100), qt.Equals, ModeBoth)
+	k = k.With(Sighting{VerifiedAt: 1_050, PlatformAt: 1_050})
+	c.Assert(k.Mode(1_100), qt.Equals, ModeReady)
+	c.Assert(k.Mode(1_051+CurrencyWindow), qt.Equals, ModeNotCurrent)
+}
+
 func TestStoppedMachineShowsOnTheWallClock(t *testing.T) {
 	c := qt.New(t)
 	m := clock.NewManual(5_000)
--- a/internal/share/accept/stage.go
+++ b/internal/share/accept/stage.go
@@ -120,6 +120,9 @@
 		return nextStage, nil
 	case held.Number > u.staged:
 		r, found, err := u.Platform.historyOf(ctx, u.staged)
+		if err != nil && u.late() {
+			return nextAnswer, u.unavailable(err)
+		}
 		if err != nil {
 			return nextWait, nil
 		}
