Operators' address with the status of a host

Cause: the settings named an operators' address that nothing answered on, and 'status' printed counters alone. A service's refusal of an old fencing number was passed to the caller as its answer; it is a refusal with an unknown outcome. After: siskinsaddle status shows readiness, manifest, hosts and kept servers of a running host. Conclusion: an operator sees what a host knows without reading counters.

--- a/internal/serve/entry/routes.go
+++ b/internal/serve/entry/routes.go
@@ -48,12 +48,17 @@
 	if e.leaving.Load() {
 		return refuse.New(refuse.ReasonStopping)
 	}
-	if e.View().Index == nil || !e.Ready() {
+	if !e.IsReady() {
 		return refuse.New(refuse.ReasonNotReady)
 	}
 	return e.health(c)
 }
 
+// IsReady tells whether the balancer should send callers here.
+func (e *Entry) IsReady() bool {
+	return !e.leaving.Load() && e.View().Index != nil && e.Ready()
+}
+
 // metrics writes the counters and gauges.
 func (e *Entry) metrics(c *fasthttp.RequestCtx) *refuse.Refusal {
 	countUsage(e.Count)
--- a/internal/serve/hostd/claims.go
+++ b/internal/serve/hostd/claims.go
@@ -26,6 +26,9 @@
 	sweepPeriod = 5 * clock.Second
 	sweepPage   = 100
 	sweepDuty   = "claims/sweep"
+	// statusStale is the answer of a service that checks fencing numbers to an
+	// old one.
+	statusStale = 409
 )
 
 func (h *Host) newDesk() *claim.Desk {
@@ -81,7 +84,8 @@
 // outcome. A caller that leaves does not stop a call that is under way.
 func (h *Host) keyed(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
 	ctx = context.WithoutCancel(ctx)
-	verdict := h.desk.Claim(ctx, h.order(c))
+	order := h.order(c)
+	verdict := h.desk.Claim(ctx, order)
 	switch verdict.Kind {
 	case claim.VerdictReplay:
 		answer := fromResponse(verdict.Response)
@@ -94,6 +98,10 @@
 	}
 	tried := send(ctx, c.Method, c.Path, verdict.Ticket.Fence)
 	switch {
+	case tried.Err == nil && order.ChecksFencing && tried.Answer.Status == statusStale:
+		// The service has seen a later owner of this claim.
+		h.desk.Unknown(verdict.Ticket)
+		return calls.Answer{}, refuse.New(refuse.ReasonOutcomeUnknown)
 	case tried.Err == nil:
 		h.desk.Finish(verdict.Ticket, toResponse(tried.Answer))
 		return tried.Answer, nil
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -28,6 +28,7 @@
 	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/plat/table"
+	"siskinsaddle/internal/serve/admin"
 	"siskinsaddle/internal/serve/calls"
 	"siskinsaddle/internal/serve/entry"
 	"siskinsaddle/internal/serve/probe"
@@ -65,6 +66,7 @@
 	desk      *claim.Desk
 	calls     *calls.Calls
 	entry     *entry.Entry
+	admin     *admin.Server
 
 	orders  sync.WaitGroup
 	cancel  context.CancelFunc
@@ -108,6 +110,10 @@
 	if err := h.entry.Listen(); err != nil {
 		return err
 	}
+	h.admin = h.newAdmin()
+	if err := h.admin.Start(); err != nil {
+		return err
+	}
 	return h.run(ctx)
 }
 
@@ -160,6 +166,11 @@
 	return h.entry.Address()
 }
 
+// OperatorAddress is the operators' address.
+func (h *Host) OperatorAddress() string {
+	return h.admin.Listening()
+}
+
 // Open is how many requests are open.
 func (h *Host) Open() int {
 	return h.entry.Open()
@@ -183,6 +194,7 @@
 		h.Log.Warn("Could not remove the registration.", "error", stopErr)
 	}
 	h.cancel()
+	h.admin.Stop()
 	h.orders.Wait()
 	h.pool.Release()
 	return err
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -62,6 +62,7 @@
 	s.HostName = name
 	s.FailureDomain = domain
 	s.Callers.Address = "127.0.0.1:0"
+	s.Callers.OperatorAddress = "127.0.0.1:0"
 	s.Links.Address = "127.0.0.1:0"
 	s.Stop.BalancerMilliseconds = 1
 	s.Callers.SendTimeoutMilliseconds = 300
--- a/internal/tools/verbs/status.go
+++ b/internal/tools/verbs/status.go
@@ -1,52 +1,60 @@
 package verbs
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/confs"
 )
 
 const statusTimeout = 5 * time.Second
 
 func newStatus() *cobra.Command {
-	var address string
+	var file string
+	var counters bool
 	c := &cobra.Command{
 		Use:   "status",
-		Short: "Prints the counters of a running host and whether it is ready",
+		Short: "Prints what a running host knows and does",
+		Long: `Prints what a running host knows and does, as JSON. The settings of the host
+give its operators' address and their secret.`,
 		Example: `  siskinsaddle status
-  siskinsaddle status --address 127.0.0.1:8080`,
+  siskinsaddle status --settings host.hujson
+  siskinsaddle status --counters`,
 		Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return status(c, address)
+			s, err := readSettings(file)
+			if err != nil {
+				return err
+			}
+			return status(c, s, counters)
 		},
 	}
-	c.Flags().StringVar(&address, "address", "127.0.0.1:8080", "callers' address of the host")
+	addSettingsFlag(c, &file)
+	c.Flags().BoolVar(&counters, "counters", false, "print the counters instead")
 	return c
 }
 
-func status(c *cobra.Command, address string) error {
-	code, body, err := get(address, "/readyz")
-	if err != nil {
-		return err
+func status(c *cobra.Command, s confs.Settings, counters bool) error {
+	url := "http://" + s.Callers.OperatorAddress + "/status"
+	if counters {
+		url = "http://" + s.Callers.Address + "/metrics"
 	}
-	if code == fasthttp.StatusOK {
-		body = []byte("ready\n")
+	request, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(answer)
+	request.SetRequestURI(url)
+	if s.Callers.OperatorSecret != "" {
+		request.Header.Set("Authorization", "Bearer "+string(s.Callers.OperatorSecret))
 	}
-	_, metrics, err := get(address, "/metrics")
-	if err != nil {
-		return err
+	if err := fasthttp.DoTimeout(request, answer, statusTimeout); err != nil {
+		return errors.Wrapf(err, "host %s", s.HostName)
 	}
-	_, err = fmt.Fprintf(c.OutOrStdout(), "%s%s", body, metrics)
-	return err
-}
-
-func get(address, path string) (int, []byte, error) {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, statusTimeout)
-	if err != nil {
-		return 0, nil, errors.Wrapf(err, "host %s", address)
+	if answer.StatusCode() != fasthttp.StatusOK {
+		return errors.Newf("host %s answered %d: %s", s.HostName, answer.StatusCode(), answer.Body())
 	}
-	return code, body, nil
+	_, err := c.OutOrStdout().Write(answer.Body())
+	return err
 }
