--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -73,6 +73,10 @@
 // closed it nor sent bytes that belong to no request. It looks at the receive
 // buffer without waiting and without taking anything out.
 func (c *conn) alive() bool {
+	// The deadline of the last answer may have passed meanwhile.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
--- a/internal/share/lease/lease.go
+++ b/internal/share/lease/lease.go
@@ -119,7 +119,7 @@
 		case <-ctx.Done():
 			l.Release(context.WithoutCancel(ctx))
 			return nil
-		case <-l.Clock.After(l.duration() / stepsPerDuration):
+		case <-l.Clock.Pulse(l.duration() / stepsPerDuration):
 		}
 	}
 }
--- a/internal/share/order/driver.go
+++ b/internal/share/order/driver.go
@@ -73,7 +73,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-d.Clock.After(orElse(d.Every, defaultEvery)):
+		case <-d.Clock.Pulse(orElse(d.Every, defaultEvery)):
 		}
 	}
 }
