--- a/internal/serve/entry/chats.go
+++ b/internal/serve/entry/chats.go
@@ -118,14 +118,14 @@
 		defer s.Close()
 		for ; !step.End; step = s.Next() {
 			if step.Refusal != nil {
-				e.breakOff(w, step.Refusal)
+				e.breakOff(w, step.Refusal, v.class.Name)
 				return
 			}
 			if usageOnly(step.Event) && !a.StreamOptions.IncludeUsage {
 				continue
 			}
 			if events.Write(w, step.Event.Raw) != nil || w.Flush() != nil {
-				e.countRefusal(refuse.New(refuse.ReasonCallerGone))
+				e.countRefusal(refuse.New(refuse.ReasonCallerGone), v.class.Name)
 				return
 			}
 		}
@@ -143,8 +143,8 @@
 
 // breakOff ends a stream that cannot be completed with an error event and no
 // closing mark, so that no client takes the part for the whole.
-func (e *Entry) breakOff(w *bufio.Writer, r *refuse.Refusal) {
-	e.countRefusal(r)
+func (e *Entry) breakOff(w *bufio.Writer, r *refuse.Refusal, class string) {
+	e.countRefusal(r, class)
 	if events.Write(w, r.Body()) == nil {
 		_ = w.Flush() // the connection is closed next, in either case
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -183,7 +183,8 @@
 
 // refuse answers with a refusal and counts it.
 func (e *Entry) refuse(c *fasthttp.RequestCtx, r *refuse.Refusal) {
-	e.countRefusal(r)
+	class, _ := c.UserValue(classValue).(string)
+	e.countRefusal(r, class)
 	c.Response.Reset()
 	c.SetStatusCode(r.Status())
 	c.SetContentType("application/json")
@@ -196,8 +197,15 @@
 	c.SetBody(r.Body())
 }
 
-func (e *Entry) countRefusal(r *refuse.Refusal) {
-	e.Count.Add("siskinsaddle_refused_total", 1, count.Label{Key: "reason", Value: string(r.Reason)})
+// classValue is the key under which a request's context holds its class.
+const classValue = "class"
+
+// countRefusal counts a refusal. The class is empty where the request was
+// refused before it had one.
+func (e *Entry) countRefusal(r *refuse.Refusal, class string) {
+	e.Count.Add("siskinsaddle_refused_total", 1,
+		count.Label{Key: "reason", Value: string(r.Reason)},
+		count.Label{Key: "class", Value: class})
 }
 
 // stream answers with a body that write makes part by part.
--- a/internal/serve/entry/visits.go
+++ b/internal/serve/entry/visits.go
@@ -41,6 +41,7 @@
 	if !ok {
 		return visit{}, view.missing(refuse.ReasonUnknownClass)
 	}
+	c.SetUserValue(classValue, class.Name)
 	if !e.opens.enter(workspace.Name, workspace.MaxOpen) {
 		return visit{}, refuse.New(refuse.ReasonTooManyOpen).WithRetryAfter(clock.Second)
 	}
--- a/internal/serve/hostd/fault_test.go
+++ b/internal/serve/hostd/fault_test.go
@@ -146,26 +146,28 @@
 	header string
 	body   string
 	reason refuse.Reason
+	// class is the one that the refusal is counted under.
+	class string
 }
 
 const goodBody = `{"model":"canvas-small","messages":[{"role":"user","content":"x"}]}`
 
 var badRequests = []badRequest{
-	{"bad JSON", "POST", "/v1/chat/completions", "", `{"model":`, refuse.ReasonBadJSON},
-	{"no model", "POST", "/v1/chat/completions", "", `{"messages":[1]}`, refuse.ReasonBadRequest},
-	{"no messages", "POST", "/v1/chat/completions", "", `{"model":"canvas-small"}`, refuse.ReasonBadRequest},
-	{"two choices", "POST", "/v1/completions", "", `{"model":"canvas-small","prompt":"x","n":2}`, refuse.ReasonBadRequest},
-	{"unknown model", "POST", "/v1/chat/completions", "", `{"model":"none","messages":[1]}`, refuse.ReasonUnknownModel},
-	{"unknown class", "POST", "/v1/chat/completions", "X-Class: none\r\n", goodBody, refuse.ReasonUnknownClass},
-	{"no key", "GET", "/v1/models", "Authorization: Basic x\r\n", "", refuse.ReasonNoKey},
-	{"wrong key", "GET", "/v1/models", "Authorization: Bearer none\r\n", "", refuse.ReasonWrongKey},
-	{"unknown path", "GET", "/none", "", "", refuse.ReasonUnknownPath},
-	{"wrong method", "GET", "/v1/chat/completions", "", "", refuse.ReasonUnknownPath},
-	{"unknown service", "GET", "/services/none/x", "", "", refuse.ReasonUnknownService},
-	{"model service", "GET", "/services/canvas-llm/x", "", "", refuse.ReasonUnknownService},
-	{"long header", "GET", "/v1/models", "X-Long: " + strings.Repeat("x", 20_000) + "\r\n", "", refuse.ReasonHeaderTooLarge},
-	{"long body", "POST", "/v1/completions", "Content-Length: 100000000\r\n", "", refuse.ReasonBodyTooLarge},
-	{"slow sender", "POST", "/v1/completions", "Content-Length: 10\r\n", "", refuse.ReasonSlowSender},
+	{"bad JSON", "POST", "/v1/chat/completions", "", `{"model":`, refuse.ReasonBadJSON, "standard"},
+	{"no model", "POST", "/v1/chat/completions", "", `{"messages":[1]}`, refuse.ReasonBadRequest, "standard"},
+	{"no messages", "POST", "/v1/chat/completions", "", `{"model":"canvas-small"}`, refuse.ReasonBadRequest, "standard"},
+	{"two choices", "POST", "/v1/completions", "", `{"model":"canvas-small","prompt":"x","n":2}`, refuse.ReasonBadRequest, "standard"},
+	{"unknown model", "POST", "/v1/chat/completions", "", `{"model":"none","messages":[1]}`, refuse.ReasonUnknownModel, "standard"},
+	{"unknown class", "POST", "/v1/chat/completions", "X-Class: none\r\n", goodBody, refuse.ReasonUnknownClass, ""},
+	{"no key", "GET", "/v1/models", "Authorization: Basic x\r\n", "", refuse.ReasonNoKey, ""},
+	{"wrong key", "GET", "/v1/models", "Authorization: Bearer none\r\n", "", refuse.ReasonWrongKey, ""},
+	{"unknown path", "GET", "/none", "", "", refuse.ReasonUnknownPath, ""},
+	{"wrong method", "GET", "/v1/chat/completions", "", "", refuse.ReasonUnknownPath, ""},
+	{"unknown service", "GET", "/services/none/x", "", "", refuse.ReasonUnknownService, "standard"},
+	{"model service", "GET", "/services/canvas-llm/x", "", "", refuse.ReasonUnknownService, "standard"},
+	{"long header", "GET", "/v1/models", "X-Long: " + strings.Repeat("x", 20_000) + "\r\n", "", refuse.ReasonHeaderTooLarge, ""},
+	{"long body", "POST", "/v1/completions", "Content-Length: 100000000\r\n", "", refuse.ReasonBodyTooLarge, ""},
+	{"slow sender", "POST", "/v1/completions", "Content-Length: 10\r\n", "", refuse.ReasonSlowSender, ""},
 }
 
 // raw sends a request as it stands and reads the answer.
@@ -192,8 +194,8 @@
 	b := newBed(t)
 	for _, r := range badRequests {
 		b.c.Run(r.name, func(c *qt.C) {
-			label := count.Label{Key: "reason", Value: string(r.reason)}
-			before := b.host.Count.Count("siskinsaddle_refused_total", label)
+			labels := []count.Label{{Key: "reason", Value: string(r.reason)}, {Key: "class", Value: r.class}}
+			before := b.host.Count.Count("siskinsaddle_refused_total", labels...)
 			answer := b.raw(r)
 			defer func() { _ = answer.Body.Close() }()
 			var refusal struct {
@@ -205,7 +207,7 @@
 			c.Assert(refusal.Reason, qt.Equals, r.reason)
 			c.Assert(refusal.Ran, qt.Equals, refuse.RanNo)
 			c.Assert(answer.StatusCode, qt.Equals, refuse.New(r.reason).Status())
-			c.Assert(b.host.Count.Count("siskinsaddle_refused_total", label), qt.Equals, before+1)
+			c.Assert(b.host.Count.Count("siskinsaddle_refused_total", labels...), qt.Equals, before+1)
 		})
 	}
 	b.c.Assert(b.host.Open(), qt.Equals, 0)
