--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -1,8 +1,8 @@
 // Package spill decides when a request goes to another failure domain, and to
 // which one.
 //
-// A request spills only when requests wait in the own domain for want of slots,
-// and another domain reports free slots beyond a reserve. Three bounds keep a
+// A request spills only when the own domain has no slot free that every tier may
+// use, and another domain reports free slots beyond a reserve. Three bounds keep a
 // crest in one domain from toppling another: the other domain takes spilled
 // work into spare slots only and refuses it otherwise; the own domain has at
 // most a share of its slots' number of requests elsewhere; and a domain that
@@ -78,8 +78,8 @@
 // Ask is a request with the state of its own domain.
 type Ask struct {
 	Request sched.Request
-	// Local sums the digests of the groups that could serve it here; its
-	// WaitEstimate is not used.
+	// Local sums the digests of the groups that could serve it here; only its
+	// FreeSlots count.
 	Local sched.Digest
 	// Slots is the number of slots of the own domain.
 	Slots int
@@ -87,7 +87,7 @@
 
 // Choose returns the domain that the request goes to, "" for the own one.
 func (p *Policy) Choose(now clock.Millis, a Ask) string {
-	if a.Request.Spilled || a.Local.FreeSlots > 0 || a.Local.Waiting == 0 {
+	if a.Request.Spilled || a.Local.FreeSlots > 0 {
 		return ""
 	}
 	if float64(p.out+1) > p.settings.OutShare*float64(a.Slots) {
--- a/internal/policy/spill/spill_test.go
+++ b/internal/policy/spill/spill_test.go
@@ -12,7 +12,7 @@
 func TestChoose(t *testing.T) {
 	c := quicktest.New(t)
 	p := spill.New(spill.Settings{Reserve: 0.25, OutShare: 0.05})
-	ask := spill.Ask{Request: sched.Request{Deadline: 300}, Local: sched.Digest{Waiting: 3}, Slots: 40}
+	ask := spill.Ask{Request: sched.Request{Deadline: 300}, Slots: 40}
 	c.Check(p.Choose(0, ask), quicktest.Equals, "")
 	p.Heard(0, "b", sched.Digest{FreeSlots: 20}, 40)
 	p.Heard(0, "c", sched.Digest{FreeSlots: 10}, 40)
@@ -34,6 +34,6 @@
 	p.Heard(2_001, "b", sched.Digest{FreeSlots: 20}, 40)
 	ask.Request.Spilled = true
 	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("spilled once already"))
-	ask.Request.Spilled, ask.Local.Waiting = false, 0
-	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("nothing waits here"))
+	ask.Request.Spilled, ask.Local.FreeSlots = false, 1
+	c.Check(p.Choose(2_001, ask), quicktest.Equals, "", quicktest.Commentf("a slot is free here"))
 }
