Manifest: the only host of a domain that is cut off serves on

Cause: a host without peers never took itself for verified once neither the platform nor another domain answered, so a domain of one host stopped two seconds into an outage. The outage test now has such a domain and failed before.

--- a/internal/share/accept/accept.go
+++ b/internal/share/accept/accept.go
@@ -156,9 +156,9 @@
 	// Call sends a request on a connection that is replaced when silent, and
 	// decodes the reply.
 	Call func(ctx context.Context, host, kind string, request, reply any) error
-	// PathSeen returns when the path to a host was last seen to work without
-	// an answer of its process: a fresh connection refused by its machine, or
-	// accepted for a process that is paused. The time is the attempt's start.
+	// PathSeen returns when the path to a host was last seen to work, such as by
+	// a fresh connection that its machine refused. The time is on this host's
+	// clock.
 	PathSeen func(host string) (clock.Millis, bool)
 	// Far names a few hosts of each other failure domain, by which a domain that
 	// is cut off from the platform alone stays current.
--- a/internal/share/accept/accept_test.go
+++ b/internal/share/accept/accept_test.go
@@ -177,10 +177,11 @@
 
 func TestLongPlatformOutage(t *testing.T) {
 	c := qt.New(t)
-	w := settled(c, 3, 2)
+	w := settled(c, 3, 1)
 	for _, name := range w.names() {
 		w.hosts[name].cutOff = true
 	}
+	w.isolate("b", true) // its only host has nobody to ask
 	w.run(clock.Minute)
 	w.expect(c, ModeReady, 1)
 	// One machine is lost without a sign: three go on as a majority of two.
@@ -189,7 +190,7 @@
 		w.cut("a-2", name, true)
 	}
 	w.run(clock.Minute)
-	w.expect(c, ModeReady, 1, "a-0", "a-1", "b-0", "b-1")
+	w.expect(c, ModeReady, 1, "a-0", "a-1", "b-0")
 	u := w.push(manifest(1, 2), func() bool { return false })
 	w.run(clock.Second)
 	c.Assert(u.answer.Reason, qt.Equals, ReasonUnavailable)
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -271,6 +271,14 @@
 	h.verify()
 }
 
+// Verify takes what the peers have shown so far. A host that is alone in its
+// domain needs no other.
+func (h *Holder) Verify() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.verify()
+}
+
 // verify raises the time of verification by what the peers have shown.
 func (h *Holder) verify() {
 	if h.Knowledge().Solid() {
--- a/internal/share/accept/roster.go
+++ b/internal/share/accept/roster.go
@@ -17,8 +17,8 @@
 	// answeredAt is the start of the last request that the peer answered with
 	// knowledge it can not have forgotten.
 	answeredAt clock.Millis
-	// seenAt is answeredAt, prolonged without a gap by signs that the path
-	// works while the peer's process does not run.
+	// seenAt is answeredAt, prolonged without a gap by signs that the path to
+	// the peer works.
 	seenAt clock.Millis
 }
 
@@ -91,9 +91,9 @@
 // verifiedAt is the time as of which this host would have heard of any
 // generation that its domain confirmed, by one of two rules.
 //
-// First: every peer has answered, or its process was seen not to run. A host
-// that leads the domain on without this one has to find it silent for
-// ExclusionWait, so it can not be among those. Second: more than half of the
+// First: every peer has answered, or its path was seen to work since it last
+// did. A host that leads the domain on without this one has to find it silent
+// for ExclusionWait, so it can not be among those. Second: more than half of the
 // domain, this host included, has answered. Whoever leads the domain on needs
 // half of it.
 //
--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -220,6 +220,7 @@
 		names = append(names, w.Peers.Far()...)
 	}
 	w.Peers.Each(len(names), func(i int) { w.check(ctx, names[i]) })
+	h.Verify()
 	w.askAll = stale && now-h.Knowledge().VerifiedAt > staleAfter
 }
 
