Manifest: hosts that start in a cut-off domain ask those that membership knows

Cause: without the registrations a fresh host knew no peer of its domain and stayed not ready beside current ones. A host now counts towards a majority only if it saw the record since it was registered: one that registers late would else be unknown to whoever leads the domain. A push that is stopped says Cancelled. Conclusion: the test of a push during a cut covers all three.

--- a/internal/share/accept/accept.go
+++ b/internal/share/accept/accept.go
@@ -100,8 +100,9 @@
 	// the time since that reached the platform.
 	VerifiedAge clock.Millis
 	PlatformAge clock.Millis
-	// Solid tells that the peer has seen the platform's record since its own
-	// start, so it has not forgotten an acknowledgement.
+	// Solid tells that the peer has seen the platform's record since it was
+	// registered, so it has neither forgotten an acknowledgement nor was it
+	// left unasked for one.
 	Solid bool
 }
 
@@ -160,6 +161,9 @@
 	// a fresh connection that its machine refused. The time is on this host's
 	// clock.
 	PathSeen func(host string) (clock.Millis, bool)
+	// Near names the hosts of this failure domain that are known by other means
+	// than the registrations. It may be nil.
+	Near func() []string
 	// Far names a few hosts of each other failure domain, by which a domain that
 	// is cut off from the platform alone stays current.
 	Far func() []string
--- a/internal/share/accept/accept_test.go
+++ b/internal/share/accept/accept_test.go
@@ -103,15 +103,25 @@
 	c.Assert(u.answer.Text, qt.Matches, ".*not confirmed in time by b; generation 1 stays in force")
 	w.expect(c, ModeReady, 1)
 
-	// The operator leaves b behind, which goes on as before.
+	u = w.push(manifest(1, 2), always)
+	w.run(clock.Second)
+	u.cancel()
+	w.run(clock.Second)
+	c.Assert(u.answer.Outcome, qt.Equals, NotAccepted)
+	c.Assert(u.answer.Reason, qt.Equals, ReasonCancelled)
+
+	// The operator leaves b behind, which goes on as before, also on a host
+	// that starts there and has its word from a peer.
 	u = w.push(manifest(1, 2), always, "b")
 	w.run(4 * clock.Second)
-	c.Assert(u.answer.Text, qt.Equals, "generation 3 is accepted; left behind: b")
-	w.expect(c, ModeReady, 3, "a-0", "a-1")
+	c.Assert(u.answer.Text, qt.Equals, "generation 4 is accepted; left behind: b")
+	w.start("b-1", "b")
+	w.run(2 * clock.Second)
+	w.expect(c, ModeReady, 4, "a-0", "a-1")
 	w.expect(c, ModeReady, 1, "b-0", "b-1")
 	w.isolate("b", false)
 	w.run(2 * clock.Second)
-	w.expect(c, ModeReady, 3)
+	w.expect(c, ModeReady, 4)
 }
 
 // cutAfterConfirm stages a manifest and cuts b off between its confirmation
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -209,6 +209,13 @@
 	return nil
 }
 
+// solid tells whether the host counts towards a majority of its domain: it has
+// seen the platform's record since it was registered. Then either whoever leads
+// the domain finds it among the registrations, or it has seen the staging.
+func (h *Holder) solid() bool {
+	return h.roster.listed && h.Knowledge().PlatformAt >= h.roster.listedAt
+}
+
 // age of a time on the host's clock, -1 for never.
 func age(now, at clock.Millis) clock.Millis {
 	if at == never {
@@ -219,10 +226,12 @@
 
 // Check answers a peer that verifies what it knows.
 func (h *Holder) Check(request CheckRequest) CheckReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	k := h.Knowledge()
 	now := h.now()
 	reply := CheckReply{
-		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: k.Solid(),
+		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: h.solid(),
 	}
 	if k.Accepted.Number > request.Accepted {
 		reply.Accepted = k.Accepted
@@ -281,7 +290,7 @@
 
 // verify raises the time of verification by what the peers have shown.
 func (h *Holder) verify() {
-	if h.Knowledge().Solid() {
+	if h.solid() {
 		h.learn(Sighting{VerifiedAt: h.roster.verifiedAt(h.now()), PlatformAt: never})
 	}
 }
--- a/internal/share/accept/push.go
+++ b/internal/share/accept/push.go
@@ -199,15 +199,22 @@
 	a := u.lost(ctx, r.Previous)
 	a.Generation = r.Number
 	a.Reason = ReasonRefused
-	if strings.HasPrefix(r.Reason, unconfirmed) {
+	switch {
+	case strings.HasPrefix(r.Reason, unconfirmed):
 		a.Reason = ReasonUnconfirmed
+	case r.Reason == stopped:
+		a.Reason = ReasonCancelled
 	}
 	a.Text = fmt.Sprintf("generation %d was aborted: %s; generation %d stays in force", r.Number, r.Reason, r.Previous.Number)
 	return a
 }
 
-// unconfirmed begins the reason of an abort for want of confirmations.
-const unconfirmed = "not confirmed in time by "
+// The reasons of a pusher's own aborts. The names of failure domains follow the
+// first.
+const (
+	unconfirmed = "not confirmed in time by "
+	stopped     = "stopped by its pusher"
+)
 
 // end aborts the staged generation, unless its last confirmation was faster.
 func (u *push) end(ctx context.Context, cancelled bool) Answer {
@@ -222,7 +229,7 @@
 		}
 		reason := unconfirmed + strings.Join(held.Open(), ", ")
 		if cancelled {
-			reason = "stopped by its pusher"
+			reason = stopped
 		}
 		next, err := held.WithAborted(reason)
 		if err == nil {
--- a/internal/share/accept/roster.go
+++ b/internal/share/accept/roster.go
@@ -25,9 +25,11 @@
 // roster is the hosts of the failure domain without this one.
 type roster struct {
 	peers map[string]*peer
-	// listed tells that the registrations were read while this host's own one
-	// stood, so every host registered earlier is among the peers.
-	listed bool
+	// listed tells that the registrations were read, from listedAt on, while
+	// this host's own one stood, so every host registered earlier is among the
+	// peers.
+	listed   bool
+	listedAt clock.Millis
 	// order caches ranked until the peers change.
 	order []string
 }
@@ -64,7 +66,10 @@
 			r.remove(name)
 		}
 	}
-	r.listed = true
+	if !r.listed {
+		r.listed = true
+		r.listedAt = readAt
+	}
 }
 
 func (r *roster) hello(name string, now clock.Millis) {
--- a/internal/share/accept/rules_test.go
+++ b/internal/share/accept/rules_test.go
@@ -138,7 +138,7 @@
 	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, never)
 	h.Checked("x", 10_000, reply)
 	c.Assert(h.Knowledge().VerifiedAt, qt.Equals, clock.Millis(9_900))
-	c.Assert(h.Knowledge().Solid(), qt.IsFalse)
+	c.Assert(h.solid(), qt.IsFalse)
 
 	h.Learn(Sighting{VerifiedAt: 10_000, PlatformAt: 10_000})
 	reply.VerifiedAge = -1
--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -266,12 +266,27 @@
 	}
 	if w.due(&w.helloAt, h.now(), helloEvery) {
 		h.mu.Lock()
+		w.addNear()
 		unmet := h.roster.unmet()
 		h.mu.Unlock()
 		w.Peers.Each(len(unmet), func(i int) { w.hello(ctx, unmet[i]) })
 	}
 }
 
+// addNear takes peers from membership while the registrations can not be read,
+// so that a host that starts during an outage can ask somebody.
+func (w *Watch) addNear() {
+	r := w.Holder.roster
+	if r.listed || w.Peers.Near == nil {
+		return
+	}
+	for _, name := range w.Peers.Near() {
+		if name != w.Holder.Host {
+			r.add(name)
+		}
+	}
+}
+
 func (w *Watch) hello(ctx context.Context, name string) {
 	var reply HelloReply
 	err := w.call(ctx, name, KindHello, HelloRequest{From: w.Holder.Host}, &reply)
--- a/internal/share/accept/world_test.go
+++ b/internal/share/accept/world_test.go
@@ -56,6 +56,7 @@
 	pusher *Pusher
 	base   int64
 	wake   clock.Millis
+	cancel context.CancelFunc
 	resume chan struct{}
 	idle   chan struct{}
 	done   bool
@@ -168,6 +169,7 @@
 				return w.call(h, to, kind, request, reply)
 			},
 			PathSeen: func(to string) (clock.Millis, bool) { return w.now(), w.pathSeen(h, to) },
+			Near:     func() []string { return w.near(domain) },
 			Far:      func() []string { return w.far(domain) },
 			Registered: func() bool {
 				if !registered {
@@ -198,13 +200,12 @@
 	}
 }
 
+func (w *world) near(domain string) []string {
+	return slices.DeleteFunc(w.names(), func(name string) bool { return w.hosts[name].domain != domain })
+}
+
 func (w *world) far(domain string) []string {
-	var names []string
-	for _, name := range w.names() {
-		if w.hosts[name].domain != domain {
-			names = append(names, name)
-		}
-	}
+	names := slices.DeleteFunc(w.names(), func(name string) bool { return w.hosts[name].domain == domain })
 	return names[:min(2, len(names))]
 }
 
@@ -252,9 +253,12 @@
 		},
 	}
 	w.pushes = append(w.pushes, u)
+	ctx, cancel := context.WithCancel(context.Background())
+	u.cancel = cancel
 	go func() {
 		<-u.resume
-		u.answer = u.pusher.Push(context.Background(), m)
+		u.answer = u.pusher.Push(ctx, m)
+		cancel()
 		u.done = true
 		u.idle <- struct{}{}
 	}()
