One host: the manifest's watch asks the peers that membership knows

Cause: a host that starts during an outage of the table has no registrations to read. Conclusion: wired; go test ./internal/serve/hostd passes.

--- a/internal/serve/hostd/manifest.go
+++ b/internal/serve/hostd/manifest.go
@@ -23,6 +23,7 @@
 		Peers: accept.Peers{
 			Call:          h.link.Call,
 			PathSeen:      h.members.PathEvidence,
+			Near:          h.near,
 			Far:           h.far,
 			Registered:    h.members.Registered,
 			Registrations: h.Registrations,
--- a/internal/serve/hostd/peers.go
+++ b/internal/serve/hostd/peers.go
@@ -60,6 +60,17 @@
 // farHosts is how many hosts of each other failure domain are asked.
 const farHosts = 2
 
+// near names the other hosts of this failure domain that membership knows.
+func (h *Host) near() []string {
+	var names []string
+	for _, other := range h.members.View().In(h.Settings.FailureDomain) {
+		if other.Name != h.Settings.HostName {
+			names = append(names, other.Name)
+		}
+	}
+	return names
+}
+
 // far names a few hosts of each other failure domain.
 func (h *Host) far() []string {
 	view := h.members.View()
