--- a/internal/share/accept/roster.go
+++ b/internal/share/accept/roster.go
@@ -17,17 +17,19 @@
 	// answeredAt is the start of the last request that the peer answered with
 	// knowledge it can not have forgotten.
 	answeredAt clock.Millis
-	// seenAt is answeredAt, prolonged without a gap by signs that the path
-	// works while the peer's process does not run.
+	// seenAt is answeredAt, prolonged without a gap by signs that the path to
+	// the peer works.
 	seenAt clock.Millis
 }
 
 // roster is the hosts of the failure domain without this one.
 type roster struct {
 	peers map[string]*peer
-	// listed tells that the registrations were read while this host's own one
-	// stood, so every host registered earlier is among the peers.
-	listed bool
+	// listed tells that the registrations were read, from listedAt on, while
+	// this host's own one stood, so every host registered earlier is among the
+	// peers.
+	listed   bool
+	listedAt clock.Millis
 	// order caches ranked until the peers change.
 	order []string
 }
@@ -64,7 +66,10 @@
 			r.remove(name)
 		}
 	}
-	r.listed = true
+	if !r.listed {
+		r.listed = true
+		r.listedAt = readAt
+	}
 }
 
 func (r *roster) hello(name string, now clock.Millis) {
@@ -91,9 +96,9 @@
 // verifiedAt is the time as of which this host would have heard of any
 // generation that its domain confirmed, by one of two rules.
 //
-// First: every peer has answered, or its process was seen not to run. A host
-// that leads the domain on without this one has to find it silent for
-// ExclusionWait, so it can not be among those. Second: more than half of the
+// First: every peer has answered, or its path was seen to work since it last
+// did. A host that leads the domain on without this one has to find it silent
+// for ExclusionWait, so it can not be among those. Second: more than half of the
 // domain, this host included, has answered. Whoever leads the domain on needs
 // half of it.
 //
