A repeated ask of a refused request no longer waits at the keeper

Cause: a host repeats an ask once a second; if that crosses the refusal, the keeper takes it for a new request, which nobody waits for and which uses up the class's floor.

--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -140,8 +140,9 @@
 	})
 }
 
-// onVerdict takes what a keeper said. A grant that nobody waits for, or by a
-// host that is no longer the keeper to this one, is given back.
+// onVerdict takes what a keeper said. A grant or a place in the queue that
+// nobody waits for, or by a host that is no longer the keeper to this one, is
+// given back.
 func (c *core) onVerdict(now clock.Millis, from string, m verdictMessage) {
 	if m.Verdict != string(verdictNotKeeper) {
 		c.digests[m.Group] = known{digest: m.Digest, at: now}
@@ -152,7 +153,9 @@
 		return
 	}
 	if !expected || (a.state != stateAsking && a.state != stateQueued) {
-		if m.Verdict == string(verdictGrant) {
+		// An ask that was repeated while its refusal was on the way waits there
+		// for nobody.
+		if m.Verdict == string(verdictGrant) || (!expected && m.Verdict == string(verdictQueued)) {
 			c.tally("GivenBack")
 			c.giveBack(from, m.Group, m.Seq)
 		}
--- a/internal/share/keep/machine_test.go
+++ b/internal/share/keep/machine_test.go
@@ -25,6 +25,25 @@
 	c.Assert(queued.sched.inner.Digest(p.now).Waiting, qt.Equals, 0, qt.Commentf("it no longer waits at home"))
 }
 
+// TestRepeatedAskOfRefusedRequestIsWithdrawn lets an ask be repeated while its
+// refusal is on the way: the keeper takes it for a new one.
+func TestRepeatedAskOfRefusedRequestIsWithdrawn(t *testing.T) {
+	c := qt.New(t)
+	p := newPair()
+	a := p.cores["host-a"]
+	c.Assert(p.ask("host-a", 11), qt.DeepEquals, map[string]int{"prairie-a": 10})
+	waiting := a.sorted()[10]
+	c.Assert(waiting.state, qt.Equals, stateQueued)
+	refusal := verdictMessage{
+		Group: waiting.number(), Seq: waiting.seq, Verdict: string(verdictRefuse), Reason: string(sched.ReasonShed),
+	}
+	repeated := &packet{Asks: []askMessage{newAsk(p.now, waiting.number(), waiting.seq, waiting.request)}}
+	a.receive(p.now, a.self, &packet{Verdicts: []verdictMessage{refusal}})
+	a.receive(p.now, a.self, repeated)
+	p.settle()
+	c.Assert(a.desks[waiting.number()].sched.inner.Digest(p.now).Waiting, qt.Equals, 0)
+}
+
 // TestMachineDecidesForItself drives one Machine whose keeper is itself.
 func TestMachineDecidesForItself(t *testing.T) {
 	c := qt.New(t)
