--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -344,7 +344,7 @@
 	}
 }
 
-func useful(e naiveEntry) clock.Millis { return min(e.GiveUp, 2*e.Deadline-e.Arrived) }
+func useful(e naiveEntry) clock.Millis { return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived)/4) }
 
 func (n *naive) pastUseAbove(now clock.Millis, tier int) bool {
 	return slices.ContainsFunc(n.settings.Classes, func(c sched.Class) bool {
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -30,13 +30,13 @@
 // # Shedding
 //
 // A queue that is full sheds, and so does one whose oldest request could not be
-// given a slot within twice its target even if nothing more arrived. Both shed
+// given a slot within its target and a quarter even if nothing more arrived. Both shed
 // by tier alone: the request comes from the lowest tier that has a class with
 // more than one waiting request. The one request that each class keeps is what
 // its floor is given to. A request whose answer has begun is not shed and does
-// not count. While a tier has requests that have waited past twice
-// their target, the tiers below it shed until that one may: they would not be
-// reached before it.
+// not count. While a tier has requests that have waited longer than
+// that, the tiers below it shed until that one may: they would not be reached
+// before it.
 //
 // Within a class the workspace with the most waiting requests for its weight
 // loses one: the oldest, or for a full queue without late requests the newest.
--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -6,6 +6,8 @@
 	// keptWaiting is how many waiting requests of a class are never shed for
 	// a higher tier: the one that its floor is given to.
 	keptWaiting = 1
+	// usefulPart is the part of its target by which a request may begin late.
+	usefulPart = 4
 	// retryAfterLeast and retryAfterMost bound what a refused caller is told.
 	retryAfterLeast = 250 * clock.Millis(1)
 	retryAfterMost  = 30 * clock.Second
@@ -83,10 +85,10 @@
 }
 
 // usefulUntil is the time until which a request is kept waiting while there is
-// more work than slots: twice its target. An answer that begins later is late
-// for its caller, and makes others late.
+// more work than slots: its deadline and a quarter of its target. An answer that
+// begins later is late for its caller, and makes others late.
 func (e *entry) usefulUntil() clock.Millis {
-	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived))
+	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived)/usefulPart)
 }
 
 func (g *Group) shed(e *entry) {
