Manifest limits are kept; slow servers tested on real sockets

Cause: the manifest's limits on headers, bodies and open requests and its time to keep claims were read by nobody. Slow and late engines were tested in virtual time only.

Conclusion: every limit of the manifest now has an effect.

--- /dev/null
+++ b/internal/base/confs/confs_test.go
@@ -0,0 +1,53 @@
+package confs_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/confs"
+)
+
+var update = flag.Bool("update", false, "write the findings of the cases anew")
+
+// Each case file NAME.hujson has its findings beside it in NAME.want.
+func TestCases(t *testing.T) {
+	c := qt.New(t)
+	files, err := filepath.Glob("cases/*.hujson")
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		got := "no findings"
+		if _, list := confs.Parse(filepath.Base(file), text); !list.Empty() {
+			got = list.Err().Error()
+		}
+		want := strings.TrimSuffix(file, ".hujson") + ".want"
+		if *update {
+			c.Assert(os.WriteFile(want, []byte(got+"\n"), 0o644), qt.IsNil)
+		}
+		expected, err := os.ReadFile(want)
+		c.Assert(err, qt.IsNil)
+		c.Check(got+"\n", qt.Equals, string(expected), qt.Commentf("%s", file))
+	}
+}
+
+// What Show prints is read again as the same settings, but for the secrets.
+func TestShowIsReadAgain(t *testing.T) {
+	c := qt.New(t)
+	s := confs.Default()
+	s.HostName = "host-9"
+	s.Platform.SecretKey = "not to be seen"
+	var b strings.Builder
+	c.Assert(confs.Show(&b, s), qt.IsNil)
+	c.Assert(b.String(), qt.Not(qt.Contains), "not to be seen")
+	again, list := confs.Parse("shown", []byte(b.String()))
+	c.Assert(list.Err(), qt.IsNil)
+	s.Platform.SecretKey = confs.Default().Platform.SecretKey
+	c.Assert(again, qt.Equals, s)
+}
--- a/internal/base/finds/finds.go
+++ b/internal/base/finds/finds.go
@@ -40,8 +40,12 @@
 	Text   string
 }
 
-// String gives "file:line:column: path: text".
+// String gives "file:line:column: path: text", without the path of a finding
+// about the whole text.
 func (f Finding) String() string {
+	if f.Path == "" {
+		return fmt.Sprintf("%s:%d:%d: %s", f.File, f.Line, f.Column, f.Text)
+	}
 	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Text)
 }
 
--- a/internal/serve/entry/opens.go
+++ b/internal/serve/entry/opens.go
@@ -10,14 +10,14 @@
 }
 
 // enter takes a place; it returns false where the workspace has limit open
-// requests already. A limit of 0 or less means no limit.
-func (o *opens) enter(workspace string, limit int) bool {
+// requests already, or all together have most. 0 or less means no limit.
+func (o *opens) enter(workspace string, limit, most int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.counted == nil {
 		o.counted = map[string]int{}
 	}
-	if limit > 0 && o.counted[workspace] >= limit {
+	if limit > 0 && o.counted[workspace] >= limit || most > 0 && o.total >= most {
 		return false
 	}
 	o.counted[workspace]++
--- a/internal/serve/entry/visits.go
+++ b/internal/serve/entry/visits.go
@@ -33,6 +33,9 @@
 	if view.Index == nil {
 		return visit{}, refuse.New(refuse.ReasonNotReady).WithRetryAfter(clock.Second)
 	}
+	if refusal := withinLimits(c, view.Index.Manifest.Limits); refusal != nil {
+		return visit{}, refusal
+	}
 	key, workspace, refusal := authenticate(c, view)
 	if refusal != nil {
 		return visit{}, refusal
@@ -42,7 +45,7 @@
 		return visit{}, view.missing(refuse.ReasonUnknownClass)
 	}
 	c.SetUserValue(classValue, class.Name)
-	if !e.opens.enter(workspace.Name, workspace.MaxOpen) {
+	if !e.opens.enter(workspace.Name, workspace.MaxOpen, view.Index.Manifest.Limits.MaxOpenRequests) {
 		return visit{}, refuse.New(refuse.ReasonTooManyOpen).WithRetryAfter(clock.Second)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -70,6 +73,18 @@
 	return refuse.New(reason)
 }
 
+// withinLimits holds a request against the manifest's limits. The settings'
+// limits have been kept by the HTTP server.
+func withinLimits(c *fasthttp.RequestCtx, l mfest.Limits) *refuse.Refusal {
+	switch {
+	case l.MaxHeaderBytes > 0 && len(c.Request.Header.RawHeaders()) > l.MaxHeaderBytes:
+		return refuse.New(refuse.ReasonHeaderTooLarge)
+	case l.MaxBodyBytes > 0 && len(c.PostBody()) > l.MaxBodyBytes:
+		return refuse.New(refuse.ReasonBodyTooLarge)
+	}
+	return nil
+}
+
 // allowed tells whether what a visit was admitted for may still be sent: the
 // host serves, and where another generation is in force by now, the workspace,
 // the class and the service stand in it too.
--- a/internal/serve/hostd/claims.go
+++ b/internal/serve/hostd/claims.go
@@ -20,7 +20,6 @@
 	claimPending   = 4_096
 	claimHeldBytes = 32 << 20
 	claimRetry     = 200 * clock.Millis(1)
-	claimRetention = 24 * clock.Hour
 	// sweepPeriod and sweepPage bound the rate at which expired claims are
 	// read and removed: 100 records in 5 s.
 	sweepPeriod = 5 * clock.Second
@@ -41,7 +40,7 @@
 		Incarnation:  uint64(h.link.Incarnation),
 		Gone:         h.gone,
 		LookUp:       h.lookUp,
-		Retention:    claimRetention,
+		Retention:    h.governed.retention,
 		InlineBytes:  claimInlineBytes,
 		MaxPending:   claimPending,
 		MaxHeldBytes: claimHeldBytes,
--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 
+	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/fakes/cloud"
 	"siskinsaddle/internal/fakes/engine"
 	"siskinsaddle/internal/fakes/plain"
@@ -180,12 +181,69 @@
 	})
 	b.push(next)
 	for _, h := range b.hosts {
-		b.awaits(func() bool {
-			code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/metrics")
-			return err == nil && code == 200 && h.Count.Gauge("siskinsaddle_manifest_generation") == 2
-		})
+		b.awaitGeneration(h, 2)
 		b.c.Assert(b.book(h, "POST", fmt.Sprint(h.Address())).reason, qt.Equals, refuse.ReasonWrongKey)
 	}
+	next.Base = 2
+	next.Limits.MaxBodyBytes = 10
+	b.push(next)
+	b.awaitGeneration(b.host, 3)
+	b.c.Assert(b.book(b.host, "POST", "long").reason, qt.Equals, refuse.ReasonBodyTooLarge)
+}
+
+func (b *bed) awaitGeneration(h *hostd.Host, generation int64) {
+	b.awaits(func() bool {
+		code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/metrics")
+		return err == nil && code == 200 && h.Count.Gauge("siskinsaddle_manifest_generation") == generation
+	})
+}
+
+// A server that takes long to begin is hedged: the other one answers, and the
+// caller has the whole answer once.
+func TestSlowStartIsHedged(t *testing.T) {
+	b := newBed(t)
+	want, err := b.answer(3, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+	for range 40 {
+		_, err := b.answer(3, -1, nil)
+		b.c.Assert(err, qt.IsNil)
+	}
+	b.stand.Engine(engines[0]).SetFaults(engine.Faults{LateMilliseconds: 250})
+	for range 8 {
+		got, err := b.answer(3, -1, nil)
+		b.c.Assert(err, qt.IsNil)
+		b.c.Assert(got, qt.Equals, want)
+	}
+	won := b.host.Count.Count("siskinsaddle_hedges_total",
+		count.Label{Key: "reason", Value: "Won"}, count.Label{Key: "class", Value: "standard"})
+	b.c.Assert(won > 0, qt.IsTrue)
+}
+
+// A server that turns four times slower than its sibling gets less work.
+func TestSlowedServerGetsLessWork(t *testing.T) {
+	b := newBed(t)
+	run := func(rounds int) (slow, fast int) {
+		before := []int{b.stand.Engine(engines[0]).Counts().Requests, b.stand.Engine(engines[1]).Counts().Requests}
+		var work sync.WaitGroup
+		for range 4 {
+			work.Add(1)
+			go func() {
+				defer work.Done()
+				for range rounds {
+					_, err := b.answer(15, -1, nil)
+					b.c.Check(err, qt.IsNil)
+				}
+			}()
+		}
+		work.Wait()
+		return b.stand.Engine(engines[0]).Counts().Requests - before[0],
+			b.stand.Engine(engines[1]).Counts().Requests - before[1]
+	}
+	run(5)
+	b.stand.Engine(engines[0]).SetFaults(engine.Faults{Slowdown: 4})
+	run(5)
+	slow, fast := run(10)
+	b.c.Assert(slow*2 < fast, qt.IsTrue, qt.Commentf("slow %d, fast %d", slow, fast))
 }
 
 // The engines are brought to the models that the manifest wants, and to other
--- a/internal/serve/hostd/governed.go
+++ b/internal/serve/hostd/governed.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/sched"
 	"siskinsaddle/internal/share/mfest"
 )
@@ -65,6 +66,11 @@
 	return g.settings[service], g.number
 }
 
+// retention is how long the outcome of an idempotency key is kept.
+func (g *governed) retention() clock.Millis {
+	return g.index().Manifest.Limits.ClaimKeepMilliseconds
+}
+
 // schedSettings is what the manifest says to the scheduler of a service.
 func schedSettings(m mfest.Manifest, service mfest.Service) sched.Settings {
 	s := sched.Settings{
--- a/internal/share/claim/claim.go
+++ b/internal/share/claim/claim.go
@@ -194,8 +194,9 @@
 	Gone func(host string, incarnation uint64) bool
 	// LookUp asks the service. It is called only for orders with HasLookUp.
 	LookUp func(ctx context.Context, o Order, fence uint64) LookUp
-	// Retention is how long a claim is kept, in milliseconds.
-	Retention clock.Millis
+	// Retention returns how long a claim is kept, in milliseconds. It may
+	// change while the desk runs.
+	Retention func() clock.Millis
 	// InlineBytes bounds the response bodies that stand in the record itself.
 	InlineBytes int
 	// MaxPending bounds the claims that this host has open or unsettled, and
--- a/internal/share/claim/record.go
+++ b/internal/share/claim/record.go
@@ -69,12 +69,19 @@
 		Name:      name,
 		Token:     token,
 		Body:      body,
-		ExpiresAt: d.Clock.Wall() + orElse(d.Retention, defaultRetention),
+		ExpiresAt: d.Clock.Wall() + d.retention(),
 	}, c)
 	d.note(err)
 	return err
 }
 
+func (d *Desk) retention() clock.Millis {
+	if d.Retention == nil {
+		return defaultRetention
+	}
+	return d.Retention()
+}
+
 // read returns the record of a claim, with stateAbsent where there is none.
 func (d *Desk) read(ctx context.Context, name string) (stored, error) {
 	ctx, cancel := d.bounded(ctx)
