--- a/internal/share/mfest/mfest.go
+++ b/internal/share/mfest/mfest.go
@@ -26,6 +26,10 @@
 import "siskinsaddle/internal/base/clock"
 
 // Manifest is a whole declaration. Treat it as immutable.
+//
+// Hosts refuse a body with a field that they do not know. A field that is added
+// later therefore has omitempty, so that older hosts take manifests that do not
+// use it.
 type Manifest struct {
 	// Base is the accepted generation that the file was written against, 0
 	// before the first.
