Nothing of a host's earlier start is kept

TestOneDecisionOverAllHosts failed once in a -race run beside two other loads: an ask got no answer for 150 ms, so its host decided alone, as it should. The waits are settings now, and the socket tests set them so that only a real loss counts; what they assert is unchanged. 8 runs of all tests with -race at one and two processors pass.

--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -264,7 +264,7 @@
 			c.reassert(now, a)
 		}
 	case stateAlone:
-		if keeper, ok := c.keeperOf(a.group); ok && !c.peer(keeper).lost && now-a.since >= AskWait {
+		if keeper, ok := c.keeperOf(a.group); ok && !c.peer(keeper).lost && now-a.since >= c.waits.Ask {
 			c.move(now, a)
 		}
 	case stateRunning:
@@ -272,7 +272,7 @@
 }
 
 func (c *core) tickAsking(now clock.Millis, a *ask) {
-	if now-a.began >= AskWait {
+	if now-a.began >= c.waits.Ask {
 		c.suspect(now, a)
 		c.withdraw(now, a)
 		c.goAlone(now, a)
--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -15,15 +15,12 @@
 
 // When what happens, in milliseconds.
 const (
-	AskWait     = 150 * clock.Millis(1) // an ask without any answer
-	LostWait    = 500 * clock.Millis(1) // reports without any answer
 	ReportEvery = 200 * clock.Millis(1)
 	// reportSpacing is between two reports of different hosts to one keeper, up
 	// to reportMost between those of one host.
 	reportSpacing = 14 * clock.Millis(1)
 	reportMost    = clock.Second
-	retryWait     = 25 * clock.Millis(1) // after the answer that the peer is no keeper
-	rebuildWait   = 400 * clock.Millis(1)
+	retryWait     = 25 * clock.Millis(1)  // after the answer that the peer is no keeper
 	serversWait   = 100 * clock.Millis(1) // between looks at the list of servers
 	digestLife    = 2 * clock.Second
 	// switchWait is how long a request waits in one group before it may go to
@@ -41,6 +38,18 @@
 	callerWait = 5 * clock.Second
 )
 
+// Waits is how long a host waits for another, in milliseconds.
+type Waits struct {
+	Ask     clock.Millis // for any answer to an ask
+	Lost    clock.Millis // for any answer to reports
+	Rebuild clock.Millis // for what the hosts of a new keeper's domain run
+}
+
+// DefaultWaits suits hosts a millisecond or two apart.
+func DefaultWaits() Waits {
+	return Waits{Ask: 150, Lost: 500, Rebuild: 400}
+}
+
 // seams is what the core asks of the rest of the program.
 type seams struct {
 	services func() []string
@@ -125,6 +134,7 @@
 	domain string
 	// groupSize is the most servers of a group; 0 has no keepers at all.
 	groupSize int
+	waits     Waits
 	seams     seams
 	view      hosts.View
 	asks      map[uint64]*ask
@@ -146,7 +156,7 @@
 
 func newCore(self link.Peer, domain string, groupSize int, s seams) *core {
 	return &core{
-		self: self, domain: domain, groupSize: groupSize, seams: s,
+		self: self, domain: domain, groupSize: groupSize, waits: DefaultWaits(), seams: s,
 		asks: map[uint64]*ask{}, byID: map[string]*ask{}, peers: map[string]*peerState{},
 		alone: map[string]*decider{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
 		desks: map[groupNumber]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
@@ -218,8 +228,12 @@
 	return group{}, false
 }
 
-// receive takes a packet from a peer, or from this host itself.
+// receive takes a packet from a peer, or from this host itself. What an earlier
+// start of the peer has sent is void.
 func (c *core) receive(now clock.Millis, from link.Peer, p *packet) {
+	if live, ok := c.view.Find(from.Name); ok && live.Incarnation > from.Incarnation {
+		return
+	}
 	c.heard(now, from)
 	c.callers[from.Name] = now
 	for _, m := range p.Asks {
--- a/internal/share/keep/desk.go
+++ b/internal/share/keep/desk.go
@@ -57,7 +57,7 @@
 	settings, version := c.seams.settings(g.Service)
 	d := &desk{
 		group: g, number: numberOf(g.Name), sched: newDecider(settings, c.seams.watch), version: version, held: map[string]*held{},
-		differs: map[string]int{}, awaiting: map[string]bool{}, until: now + rebuildWait,
+		differs: map[string]int{}, awaiting: map[string]bool{}, until: now + c.waits.Rebuild,
 	}
 	c.desks[d.number] = d
 	c.tally("Opened")
@@ -156,11 +156,14 @@
 
 // dropHost frees what a host held before an incarnation; 0 means all of it.
 func (c *core) dropHost(now clock.Millis, name string, before int64) {
+	gone := func(p link.Peer) bool { return p.Name == name && (before == 0 || p.Incarnation < before) }
 	for _, d := range c.desks {
 		delete(d.awaiting, name)
+		d.early = slices.DeleteFunc(d.early, func(e earlyAsk) bool { return gone(e.from) })
+		d.runs = slices.DeleteFunc(d.runs, func(r earlyRun) bool { return gone(r.from) })
 		for _, id := range sortedKeys(d.held) {
 			h := d.held[id]
-			if h.from.Name != name || (before > 0 && h.from.Incarnation >= before) {
+			if !gone(h.from) {
 				continue
 			}
 			delete(d.held, id)
--- a/internal/share/keep/doc.go
+++ b/internal/share/keep/doc.go
@@ -9,12 +9,12 @@
 //
 // What a host holds of its own requests is the truth; what a keeper holds can
 // be rebuilt from it. A new keeper first asks every host of the domain what it
-// runs, and grants nothing before all have answered or rebuildWait has passed.
+// runs, and grants nothing before all have answered or Waits.Rebuild has passed.
 // Reports carry a hash of the running requests, so that a keeper notices what
 // was lost on the way and asks for the whole list.
 //
-// A keeper that does not answer an ask within AskWait, or a report within
-// LostWait, is lost to the host that asked. The host then decides alone, with
+// A keeper that does not answer an ask within Waits.Ask, or a report
+// within Waits.Lost, is lost to the host that asked. The host then decides alone, with
 // a sched.Group of its own on its share of every server's slots, until the
 // keeper is heard again or another one is chosen. The shares of all hosts add
 // up to the slots, except that a host always has one slot in the group.
--- a/internal/share/keep/keep_test.go
+++ b/internal/share/keep/keep_test.go
@@ -48,6 +48,7 @@
 	r.view(1, all, named(1, "", all...)...)
 	r.burst("a", 40, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[lost].crash()
 	// The membership takes a while to find out; hosts decide alone until then.
 	r.await(r.members[rest[0]], "Alone")
@@ -57,6 +58,7 @@
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
 
 	// From then on the new keeper decides for all.
+	r.patience(false)
 	r.burst("b", 30, rest...)
 	r.Assert(r.finished(120), qt.Equals, serverSlots)
 }
@@ -70,6 +72,7 @@
 	r.burst("a", 10, all...)
 	r.Assert(r.finished(30), qt.Equals, serverSlots)
 
+	r.patience(true)
 	r.members[keeper].relay.SilenceOpen()
 	r.burst("b", 1, other)
 	r.asking.Wait()
@@ -82,6 +85,7 @@
 		grant = r.answers["c-"+other+"-0"].grant
 	}
 	r.finished(1)
+	r.patience(false)
 	r.burst("d", 30, all...)
 	r.Assert(r.finished(90), qt.Equals, serverSlots)
 }
@@ -139,6 +143,7 @@
 	r.view(1, all, named(1, "", all...)...)
 	r.burst("a", 40, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[keeper].crash()
 	r.start(keeper, 2)
 	// The new process knows the others at once; they still hold the old view.
@@ -146,6 +151,7 @@
 	most := r.finished(120)
 	t.Logf("at most %d ran on a server of %d slots", most, serverSlots)
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
+	r.patience(false)
 	r.view(2, rest, append(named(1, "", rest...), named(2, "", keeper)...)...)
 	r.burst("b", 30, all...)
 	r.Assert(r.finished(120), qt.Equals, serverSlots)
@@ -176,12 +182,14 @@
 	rest := without(all, lost)
 	r.burst("a", 60, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[lost].crash()
 	delete(r.members, lost)
 	most := r.finished(180)
 	t.Logf("at most %d ran on a server of %d slots", most, serverSlots)
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
 	r.awaitViews(3, rest...)
+	r.patience(false)
 	r.burst("b", 30, rest...)
 	r.Assert(r.finished(90), qt.Equals, serverSlots, qt.Commentf("%v", rest))
 }
--- a/internal/share/keep/node.go
+++ b/internal/share/keep/node.go
@@ -47,6 +47,8 @@
 	// are there to be measured against; all hosts have the same.
 	GroupSize int
 	NoKeepers bool
+	// Waits is DefaultWaits where it is zero.
+	Waits Waits
 
 	mu      sync.Mutex
 	core    *core
@@ -66,6 +68,9 @@
 	n.core = newCore(link.Peer{Name: n.Name, Incarnation: n.Incarnation}, n.FailureDomain, size, seams{
 		services: n.Services, servers: n.Servers, settings: n.Settings, random: rand.IntN, watch: n.Watch,
 	})
+	if n.Waits != (Waits{}) {
+		n.core.waits = n.Waits
+	}
 	n.core.tally = func(event string) {
 		n.Counters.Add("siskinsaddle_keep_events_total", 1, count.Label{Key: "event", Value: event})
 		n.Log.Debug("Event.", "kind", event)
--- a/internal/share/keep/report.go
+++ b/internal/share/keep/report.go
@@ -114,7 +114,7 @@
 	if p.unheard == 0 {
 		p.unheard = now
 	}
-	if !p.lost && now-p.unheard >= LostWait {
+	if !p.lost && now-p.unheard >= c.waits.Lost {
 		p.lost = true
 		c.tally("KeeperLost")
 	}
--- a/internal/tools/cohere/cohere.go
+++ b/internal/tools/cohere/cohere.go
@@ -25,6 +25,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/share/keep"
 )
 
 // Way is a way to decide.
@@ -56,6 +57,8 @@
 	// LoseKeeper crashes the host that keeps the first group, a second into
 	// the crest. The others learn of it learnWait later, as from heartbeats.
 	LoseKeeper bool
+	// Waits is the usual one where it is zero.
+	Waits keep.Waits
 }
 
 // The script's loads as shares of the capacity, one for each part.
