--- a/internal/policy/sched/shed.go
+++ b/internal/policy/sched/shed.go
@@ -6,6 +6,8 @@
 	// keptWaiting is how many waiting requests of a class are never shed for
 	// a higher tier: the one that its floor is given to.
 	keptWaiting = 1
+	// usefulPart is the part of its target by which a request may begin late.
+	usefulPart = 4
 	// retryAfterLeast and retryAfterMost bound what a refused caller is told.
 	retryAfterLeast = 250 * clock.Millis(1)
 	retryAfterMost  = 30 * clock.Second
@@ -13,11 +15,12 @@
 
 // lowest returns the class that sheds next: in the lowest tier that has a
 // class with more than one waiting request, the class with the most of them.
+// Requests whose answer has begun do not count.
 func (g *Group) lowest() *class {
 	for i := len(g.tiers) - 1; i >= 0; i-- {
 		var most *class
 		for _, c := range g.tiers[i].classes {
-			if c.waiting > keptWaiting && (most == nil || c.waiting > most.waiting) {
+			if !c.begun && c.waiting > keptWaiting && (most == nil || c.waiting > most.waiting) {
 				most = c
 			}
 		}
@@ -32,8 +35,8 @@
 // may outgrow its own bound while lower tiers wait, since then it may not be
 // shed, but all together may not outgrow the sum of the bounds.
 func (g *Group) bound(now clock.Millis, e *entry) {
-	c := g.class(e.Class)
-	if c.MaxWaiting <= 0 {
+	c := g.class(e.Request)
+	if c.begun || c.MaxWaiting <= 0 {
 		return
 	}
 	low := g.lowest()
@@ -73,7 +76,7 @@
 			return false
 		}
 		for _, c := range t.classes {
-			if c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
+			if !c.begun && c.waiting > keptWaiting && c.oldest().usefulUntil() < now {
 				return true
 			}
 		}
@@ -82,10 +85,10 @@
 }
 
 // usefulUntil is the time until which a request is kept waiting while there is
-// more work than slots: twice its target. An answer that begins later is late
-// for its caller, and makes others late.
+// more work than slots: its deadline and a quarter of its target. An answer that
+// begins later is late for its caller, and makes others late.
 func (e *entry) usefulUntil() clock.Millis {
-	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived))
+	return min(e.GiveUp, e.Deadline+(e.Deadline-e.Arrived)/usefulPart)
 }
 
 func (g *Group) shed(e *entry) {
@@ -100,7 +103,7 @@
 // retryAfter is when the work that waits ahead of the request will be gone, or
 // 0 while no request has ended yet.
 func (g *Group) retryAfter(r Request) clock.Millis {
-	wait := g.waitEstimate(g.class(r.Class).tier)
+	wait := g.waitEstimate(g.class(r).tier)
 	if wait == 0 {
 		return 0
 	}
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -145,9 +145,9 @@
 // that are no longer of use.
 func (h *Holder) settle(k Knowledge) {
 	old := h.state.Load()
-	next := &state{knowledge: k, current: h.bodies[k.Accepted.Body].index}
+	next := &state{knowledge: k, current: h.governs(h.bodies[k.Accepted.Body].index)}
 	staged, undecided := k.Undecided()
-	other := h.bodies[staged.Body].index
+	other := h.governs(h.bodies[staged.Body].index)
 	switch {
 	case !undecided || next.current == nil || other == nil:
 	case next.current == old.current && old.both != nil && old.knowledge.Staged == staged:
@@ -163,6 +163,16 @@
 	}
 }
 
+// governs returns the index if its manifest has this host's failure domain. The
+// hosts of a domain that a manifest leaves out serve nothing under it, since
+// later generations do not need their confirmation.
+func (h *Holder) governs(x *mfest.Index) *mfest.Index {
+	if x == nil || !x.HasDomain(h.Domain) {
+		return nil
+	}
+	return x
+}
+
 // Wanted returns the bodies that the host should fetch.
 func (h *Holder) Wanted() []Ref {
 	h.mu.Lock()
@@ -199,6 +209,13 @@
 	return nil
 }
 
+// solid tells whether the host counts towards a majority of its domain: it has
+// seen the platform's record since it was registered. Then either whoever leads
+// the domain finds it among the registrations, or it has seen the staging.
+func (h *Holder) solid() bool {
+	return h.roster.listed && h.Knowledge().PlatformAt >= h.roster.listedAt
+}
+
 // age of a time on the host's clock, -1 for never.
 func age(now, at clock.Millis) clock.Millis {
 	if at == never {
@@ -209,10 +226,12 @@
 
 // Check answers a peer that verifies what it knows.
 func (h *Holder) Check(request CheckRequest) CheckReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	k := h.Knowledge()
 	now := h.now()
 	reply := CheckReply{
-		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: k.Solid(),
+		Closed: k.Closed, VerifiedAge: age(now, k.VerifiedAt), PlatformAge: age(now, k.PlatformAt), Solid: h.solid(),
 	}
 	if k.Accepted.Number > request.Accepted {
 		reply.Accepted = k.Accepted
@@ -261,9 +280,17 @@
 	h.verify()
 }
 
+// Verify takes what the peers have shown so far. A host that is alone in its
+// domain needs no other.
+func (h *Holder) Verify() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.verify()
+}
+
 // verify raises the time of verification by what the peers have shown.
 func (h *Holder) verify() {
-	if h.Knowledge().Solid() {
+	if h.solid() {
 		h.learn(Sighting{VerifiedAt: h.roster.verifiedAt(h.now()), PlatformAt: never})
 	}
 }
--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -22,8 +22,8 @@
 	// pollIdleEvery is how often the other hosts read the platform themselves.
 	pollIdleEvery = 5 * clock.Second
 	// staleAfter is the age of knowledge at which a host verifies it itself.
-	staleAfter  = clock.Second
-	checkEvery  = 500 * clock.Millis(1)
+	staleAfter  = 1200 * clock.Millis(1)
+	checkEvery  = 400 * clock.Millis(1)
 	callWait    = 700 * clock.Millis(1)
 	rosterEvery = 10 * clock.Second
 	helloEvery  = clock.Second
@@ -220,6 +220,7 @@
 		names = append(names, w.Peers.Far()...)
 	}
 	w.Peers.Each(len(names), func(i int) { w.check(ctx, names[i]) })
+	h.Verify()
 	w.askAll = stale && now-h.Knowledge().VerifiedAt > staleAfter
 }
 
@@ -265,12 +266,27 @@
 	}
 	if w.due(&w.helloAt, h.now(), helloEvery) {
 		h.mu.Lock()
+		w.addNear()
 		unmet := h.roster.unmet()
 		h.mu.Unlock()
 		w.Peers.Each(len(unmet), func(i int) { w.hello(ctx, unmet[i]) })
 	}
 }
 
+// addNear takes peers from membership while the registrations can not be read,
+// so that a host that starts during an outage can ask somebody.
+func (w *Watch) addNear() {
+	r := w.Holder.roster
+	if r.listed || w.Peers.Near == nil {
+		return
+	}
+	for _, name := range w.Peers.Near() {
+		if name != w.Holder.Host {
+			r.add(name)
+		}
+	}
+}
+
 func (w *Watch) hello(ctx context.Context, name string) {
 	var reply HelloReply
 	err := w.call(ctx, name, KindHello, HelloRequest{From: w.Holder.Host}, &reply)
