Keepers are worked out once for each view

Cause: each tick of 25 ms worked out the keeper of every running request's group anew, a rendezvous hash over the hosts of the domain, and copied the list of hosts for the pace of reports.

TestKeepersFollowTheView fails where a new view does not clear what is remembered.

--- a/internal/share/hosts/node_test.go
+++ b/internal/share/hosts/node_test.go
@@ -147,7 +147,7 @@
 // BenchmarkTraffic reports what one host sends for membership. Run it with
 // -benchtime=1x; it watches for ten seconds.
 func BenchmarkTraffic(b *testing.B) {
-	for _, count := range []int{7, 20, 70} {
+	for _, count := range []int{7, 20, 35, 70} {
 		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
 			for range b.N {
 				traffic(b, count)
--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -127,14 +127,18 @@
 	groupSize int
 	seams     seams
 	view      hosts.View
-	asks      map[uint64]*ask
-	byID      map[string]*ask
-	lastSeq   uint64
-	peers     map[string]*peerState
-	alone     map[string]*decider
-	digests   map[groupNumber]known
-	spillBy   map[string]*spill.Policy
-	desks     map[groupNumber]*desk
+	// keepers holds the winners of this view by group, and mates is how many
+	// hosts of the own domain it has: both are asked for on every tick.
+	keepers map[string]string
+	mates   int
+	asks    map[uint64]*ask
+	byID    map[string]*ask
+	lastSeq uint64
+	peers   map[string]*peerState
+	alone   map[string]*decider
+	digests map[groupNumber]known
+	spillBy map[string]*spill.Policy
+	desks   map[groupNumber]*desk
 	// callers is when each host was last heard as an asker.
 	callers map[string]clock.Millis
 	out     map[string]*packet
@@ -148,7 +152,7 @@
 	return &core{
 		self: self, domain: domain, groupSize: groupSize, seams: s,
 		asks: map[uint64]*ask{}, byID: map[string]*ask{}, peers: map[string]*peerState{},
-		alone: map[string]*decider{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
+		alone: map[string]*decider{}, keepers: map[string]string{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
 		desks: map[groupNumber]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
 		tally: func(string) {},
 	}
@@ -195,8 +199,14 @@
 	if c.groupSize < 1 {
 		return "", false
 	}
+	if keeper, ok := c.keepers[name]; ok {
+		return keeper, true
+	}
 	_, domain := parseGroup(name)
 	h, ok := hosts.Winner(name, c.view.Duty(domain))
+	if ok {
+		c.keepers[name] = h.Name
+	}
 	return h.Name, ok
 }
 
@@ -274,6 +284,7 @@
 	}
 	before := c.view
 	c.view = v
+	c.keepers, c.mates = map[string]string{}, len(v.In(c.domain))
 	c.dropDead(now, before)
 	c.reviewDesks(now)
 	for _, a := range c.sorted() {
--- a/internal/share/keep/core_test.go
+++ b/internal/share/keep/core_test.go
@@ -178,3 +178,34 @@
 	c.Assert(last.group, qt.Equals, "canvas-llm/prairie-a/0")
 	c.Assert(last.state, qt.Equals, stateQueued)
 }
+
+// What is remembered of a view is never used under a later one.
+func TestKeepersFollowTheView(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(link.Peer{Name: "host-0", Incarnation: 1}, "prairie-a", GroupSize, seams{
+		services: func() []string { return nil }, servers: func(string, string) []sched.Server { return nil }, settings: testSettings,
+	})
+	moved := map[string]bool{}
+	for number, live := range [][]hosts.Host{
+		named(1, "", numbered(8)...),
+		named(1, "", numbered(5)...),
+		append(named(1, "", "host-0", "host-1"), named(1, "Leaving", "host-2", "host-3", "host-4")...),
+		named(1, "", numbered(8)...),
+		nil,
+	} {
+		view := hosts.NewView(uint64(number+1), live...)
+		core.setView(1000, view)
+		c.Check(core.mates, qt.Equals, len(view.In("prairie-a")))
+		for i := range 20 {
+			name := fmt.Sprintf("canvas-llm/prairie-a/%d", i)
+			want, live := hosts.Winner(name, view.Duty("prairie-a"))
+			for range 2 {
+				keeper, ok := core.keeperOf(name)
+				c.Check(ok, qt.Equals, live)
+				c.Check(keeper, qt.Equals, want.Name)
+			}
+			moved[want.Name] = true
+		}
+	}
+	c.Check(len(moved) > 4, qt.IsTrue)
+}
--- a/internal/share/keep/report.go
+++ b/internal/share/keep/report.go
@@ -33,7 +33,7 @@
 // the domain together are the same number a second however many hosts there
 // are, since that is what the keeper learns from.
 func (c *core) setPace() {
-	calm := max(ReportEvery, min(reportMost, clock.Millis(len(c.view.In(c.domain)))*reportSpacing))
+	calm := max(ReportEvery, min(reportMost, clock.Millis(c.mates)*reportSpacing))
 	for _, p := range c.peers {
 		p.pace = calm
 		if p.lost {
