Readiness waits until the keepers are known

Cause: TestOpenAIClient failed now and then with one request decided alone: the host was ready as soon as it had joined, up to 25 ms before the keeper's part had taken the view up. Conclusion: a ready host does not decide alone.

--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -200,10 +200,10 @@
 	return err
 }
 
-// ready tells whether the host knows the backend servers and the other hosts.
-// Before that it could only decide alone, on a small share of the slots.
+// ready tells whether the host knows the backend servers and who decides for
+// them. Before that it could only decide alone, on a small share of the slots.
 func (h *Host) ready() bool {
-	return h.machines.ready() && h.members.View().Joined
+	return h.machines.ready() && h.keeper.Settled()
 }
 
 func (h *Host) newEntry() *entry.Entry {
--- a/internal/share/keep/desk.go
+++ b/internal/share/keep/desk.go
@@ -114,6 +114,22 @@
 	}
 }
 
+func (c *core) settled() bool {
+	if !c.view.Joined {
+		return false
+	}
+	for _, service := range c.seams.services() {
+		for _, g := range c.groups(service, c.domain) {
+			keeper, ok := c.keeperOf(g.Name)
+			_, has := c.desks[numberOf(g.Name)]
+			if !ok || keeper == c.self.Name && !has {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // closeDesk sends those who wait to the new keeper.
 func (c *core) closeDesk(d *desk) {
 	delete(c.desks, d.number)
--- a/internal/share/keep/node.go
+++ b/internal/share/keep/node.go
@@ -150,6 +150,14 @@
 	return count
 }
 
+// Settled tells whether this host knows the keeper of every group of its domain
+// and has taken up those that it has won. Before that it decides alone.
+func (n *Node) Settled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.settled()
+}
+
 // Kept names the backend servers of the groups that this host keeps.
 func (n *Node) Kept() []string {
 	n.mu.Lock()
