No refusal says 'not run' after an attempt was sent

Cause, found by reading: a repeatable call that was sent and lost, and was then refused or not connected on its next attempt, told its caller Ran "No". A resumed stream whose next server answered with an error status ended as if it were complete: the entry took the step for an event and closed with [DONE]. Caller headers Expect, X-Priority and X-Leaving went on to plain services.

Conclusion: Refusal.AfterSending holds the rule in one place, and an error after a first event is a failure of the attempt, so that the stream is resumed elsewhere or broken off.

--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -98,21 +98,28 @@
 
 // Do makes a call and returns the service's answer or a refusal.
 func (c *Calls) Do(ctx context.Context, call Call) (Answer, *refuse.Refusal) {
+	// maybeRan: an attempt reached a server, so that no later refusal may say
+	// that the call did not run.
+	maybeRan := false
 	for number := 1; ; number++ {
 		request := call.Request
 		request.NotRepeatable = !call.Repeatable
 		request.ID += "." + strconv.Itoa(number)
 		grant, refusal := c.Ask(ctx, request)
 		if refusal != nil {
-			return Answer{}, refusal
+			return Answer{}, refusal.AfterSending(maybeRan)
 		}
 		answer, tried, refusal := c.attempt(ctx, call, grant)
-		if refusal != nil || tried.Err == nil {
-			return answer, refusal
+		if refusal != nil {
+			return Answer{}, refusal.AfterSending(maybeRan)
+		}
+		if tried.Err == nil {
+			return answer, nil
 		}
+		maybeRan = maybeRan || tried.Sent != wire.SentNothing
 		call.Request.Avoid = append(call.Request.Avoid, grant.Server)
 		if !c.again(call, tried, grant, number) {
-			return Answer{}, lastRefusal(ctx, tried)
+			return Answer{}, lastRefusal(ctx, tried).AfterSending(maybeRan)
 		}
 	}
 }
@@ -266,6 +273,7 @@
 	"authorization":       true,
 	"connection":          true,
 	"content-length":      true,
+	"expect":              true,
 	"host":                true,
 	"idempotency-key":     true,
 	"keep-alive":          true,
@@ -276,6 +284,8 @@
 	"upgrade":             true,
 	"x-class":             true,
 	"x-fencing-number":    true,
+	"x-leaving":           true,
+	"x-priority":          true,
 	"x-request-id":        true,
 	"x-workspace":         true,
 }
--- /dev/null
+++ b/internal/serve/calls/calls_test.go
@@ -0,0 +1,181 @@
+package calls_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/policy/sched"
+	"siskinsaddle/internal/serve/calls"
+	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/serve/relay"
+	"siskinsaddle/internal/serve/wire"
+)
+
+const (
+	maxAnswerBytes = 8
+	maxAttempts    = 3
+)
+
+// result is what one server does with a call.
+type result struct {
+	status  int
+	body    string
+	leaving string
+	sent    wire.Sent
+	err     error
+}
+
+var (
+	works    = result{status: 200, body: "done", sent: wire.SentAll}
+	refused  = result{sent: wire.SentNothing, err: wire.ErrDial}
+	lost     = result{sent: wire.SentAll, err: wire.ErrBroken}
+	leaving  = result{status: 503, leaving: "true", sent: wire.SentAll}
+	tooLarge = result{status: 200, body: strings.Repeat("x", maxAnswerBytes+1), sent: wire.SentAll}
+)
+
+// rig is the calls before servers that take one call each, in order. Where no
+// server is left, Ask refuses with Shed.
+type rig struct {
+	calls    *calls.Calls
+	asked    int
+	sent     []wire.Request
+	outcomes []sched.Outcome
+}
+
+func newRig(results ...result) *rig {
+	g := &rig{}
+	g.calls = &calls.Calls{
+		Ask: func(context.Context, sched.Request) (relay.Grant, *refuse.Refusal) {
+			if g.asked == len(results) {
+				return relay.Grant{}, refuse.New(refuse.ReasonShed)
+			}
+			g.asked++
+			return relay.Grant{Server: fmt.Sprint("s", g.asked)}, nil
+		},
+		Done: func(_ string, d sched.Done) { g.outcomes = append(g.outcomes, d.Outcome) },
+		Send: func(_ context.Context, r wire.Request) (wire.Answer, wire.Sent, error) {
+			g.sent = append(g.sent, r)
+			made := results[len(g.sent)-1]
+			return wire.Answer{
+				Status:  made.status,
+				Headers: []wire.Header{{Name: relay.HeaderLeaving, Value: made.leaving}, {Name: "X-Yard", Value: "1"}},
+				Body:    io.NopCloser(strings.NewReader(made.body)),
+			}, made.sent, made.err
+		},
+		MayRetry: func(f relay.Failure) bool {
+			return f.Attempt < maxAttempts && (f.Repeatable || f.Sent == wire.SentNothing)
+		},
+		Keyed: func(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
+			tried := send(ctx, c.Method, c.Path, 7)
+			if tried.Err != nil {
+				return calls.Answer{}, refuse.New(refuse.ReasonOutcomeUnknown)
+			}
+			return tried.Answer, nil
+		},
+		MaxAnswerBytes: maxAnswerBytes,
+		Clock:          clock.NewManual(0).Clock(),
+		Count:          count.NewSet(),
+	}
+	return g
+}
+
+func call(repeatable bool, key string) calls.Call {
+	return calls.Call{
+		Request:    sched.Request{ID: "r1", Class: "urgent", Workspace: "stalls"},
+		Method:     "POST",
+		Path:       "/bookings",
+		Key:        key,
+		Repeatable: repeatable,
+		Allowed:    func() *refuse.Refusal { return nil },
+	}
+}
+
+type attempt struct {
+	name       string
+	results    []result
+	repeatable bool
+	key        string
+	// sent is how many servers were sent the call.
+	sent int
+	// reason is empty where the caller gets the answer.
+	reason refuse.Reason
+	ran    refuse.Ran
+}
+
+var attempts = []attempt{
+	{"answered", []result{works}, false, "", 1, "", ""},
+	{"lost and not repeatable", []result{lost, works}, false, "", 1, refuse.ReasonBackendFailed, refuse.RanUnknown},
+	{"lost and repeatable", []result{lost, works}, true, "", 2, "", ""},
+	{"not sent", []result{refused, works}, false, "", 2, "", ""},
+	{"leaving", []result{leaving, works}, false, "", 2, "", ""},
+	{"never sent", []result{refused, refused, refused}, false, "", 3, refuse.ReasonBackendRefused, refuse.RanNo},
+	{"too large", []result{tooLarge, works}, false, "", 1, refuse.ReasonAnswerTooLarge, refuse.RanUnknown},
+	{"shed", nil, true, "", 0, refuse.ReasonShed, refuse.RanNo},
+	{"shed after nothing was sent", []result{refused}, true, "", 1, refuse.ReasonShed, refuse.RanNo},
+	{"shed after it was lost", []result{lost}, true, "", 1, refuse.ReasonShed, refuse.RanUnknown},
+	{"unreachable after it was lost", []result{lost, refused, refused}, true, "", 3, refuse.ReasonBackendRefused, refuse.RanUnknown},
+	{"keyed", []result{works}, false, "k", 1, "", ""},
+	{"keyed and not sent", []result{refused, works}, false, "k", 2, "", ""},
+	{"keyed and lost", []result{lost, works}, false, "k", 1, refuse.ReasonOutcomeUnknown, refuse.RanUnknown},
+}
+
+// A call that may have run is sent again only if it may run twice, and no
+// refusal of it says that it did not run.
+func TestDo(t *testing.T) {
+	for _, a := range attempts {
+		t.Run(a.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newRig(a.results...)
+			answer, refusal := g.calls.Do(context.Background(), call(a.repeatable, a.key))
+			c.Assert(g.sent, qt.HasLen, a.sent)
+			c.Assert(g.outcomes, qt.HasLen, g.asked, qt.Commentf("every grant is given back"))
+			if a.reason == "" {
+				c.Assert(refusal, qt.IsNil)
+				c.Assert(string(answer.Body), qt.Equals, "done")
+				c.Assert(g.outcomes[a.sent-1], qt.Equals, sched.OutcomeDone)
+				return
+			}
+			c.Assert(refusal.Reason, qt.Equals, a.reason)
+			c.Assert(refusal.Ran, qt.Equals, a.ran)
+		})
+	}
+}
+
+// A manifest that changed while the call waited ends it before it is sent.
+func TestAllowedIsAskedLast(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(works)
+	k := call(true, "")
+	k.Allowed = func() *refuse.Refusal { return refuse.New(refuse.ReasonWrongKey) }
+	_, refusal := g.calls.Do(context.Background(), k)
+	c.Assert(refusal.Reason, qt.Equals, refuse.ReasonWrongKey)
+	c.Assert(g.sent, qt.HasLen, 0)
+	c.Assert(g.outcomes, qt.DeepEquals, []sched.Outcome{sched.OutcomeCancelled})
+}
+
+// The service sees the router's word on who calls, and the caller none of the
+// headers between the router and the service.
+func TestHeaders(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(works)
+	answer, refusal := g.calls.Do(context.Background(), call(false, "k"))
+	c.Assert(refusal, qt.IsNil)
+	c.Assert(answer.Headers, qt.DeepEquals, []wire.Header{{Name: "X-Yard", Value: "1"}})
+	c.Assert(g.sent[0].Headers, qt.DeepEquals, []wire.Header{
+		{Name: relay.HeaderRequestID, Value: "r1"},
+		{Name: calls.HeaderWorkspace, Value: "stalls"},
+		{Name: calls.HeaderIdempotencyKey, Value: "k"},
+		{Name: calls.HeaderFencingNumber, Value: "7"},
+	})
+	for _, name := range []string{"authorization", "X-Request-ID", "x-fencing-number", "X-Workspace", "Expect", "Connection"} {
+		c.Check(calls.Passed(name), qt.IsFalse, qt.Commentf(name))
+	}
+	c.Check(calls.Passed("Content-Type"), qt.IsTrue)
+}
--- a/internal/serve/refuse/refuse.go
+++ b/internal/serve/refuse/refuse.go
@@ -151,6 +151,15 @@
 	return &c
 }
 
+// AfterSending returns the refusal of a request of which an earlier attempt may
+// have reached a server: what was "No" becomes "Unknown".
+func (r *Refusal) AfterSending(sent bool) *Refusal {
+	if !sent || r.Ran != RanNo {
+		return r
+	}
+	return r.WithRan(RanUnknown)
+}
+
 // WithRetryAfter returns the refusal with a time after which to try again.
 func (r *Refusal) WithRetryAfter(m clock.Millis) *Refusal {
 	c := *r
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -153,9 +153,12 @@
 	made      int
 	winner    int
 	delivered int
-	sent      bool
-	avoid     []string
-	hedge     <-chan struct{}
+	// begun tells that an event has been returned, sent that a server may have
+	// seen the request.
+	begun bool
+	sent  bool
+	avoid []string
+	hedge <-chan struct{}
 	// granted is when the first attempt got its grant.
 	granted clock.Millis
 	over    bool
@@ -284,6 +287,7 @@
 	if s.winner != n.attempt {
 		s.win(n.attempt)
 	}
+	s.begun = true
 	s.delivered += n.event.Tokens
 	return Step{Event: n.event}, true
 }
@@ -310,7 +314,13 @@
 	return s.finish(Step{End: true}), true
 }
 
+// takeFinal passes a server's own error on. Once the caller has a part of the
+// answer, an error is no answer any more, but a failure like any other.
 func (s *Stream) takeFinal(n note) (Step, bool) {
+	if s.begun {
+		n.cause = CauseServerError
+		return s.takeFailed(n)
+	}
 	return s.finish(Step{Final: n.final}), true
 }
 
@@ -319,11 +329,7 @@
 	if len(s.live) > 0 {
 		return Step{}, false
 	}
-	refusal := n.refusal
-	if s.sent {
-		refusal = refusal.WithRan(refuse.RanUnknown)
-	}
-	return s.finish(Step{Refusal: refusal}), true
+	return s.finish(Step{Refusal: n.refusal.AfterSending(s.sent)}), true
 }
 
 // takeFailed decides what follows a failed attempt: another attempt that goes
