Whole answers keep tool calls, log probabilities and refusals; key headers are strict

Cause, found by reading and by requests on a running host: an answer that is not streamed was put together from text and tool calls alone, so that logprobs, reasoning_content, refusal and system_fingerprint were lost; reasoning parts counted as no token, so that a resume began at too small an offset. An empty Idempotency-Key header, or two of them, let a booking run without its promise, or under the first key. Several prompts in one request lost all but one answer. The scheme of Authorization was compared with case.

Tests: events had none; calls of a plain service are sent in ten ways (escapes, absolute form, chunked, 100-continue, each method), and seven more bad requests are refused.

--- a/internal/serve/entry/asked.go
+++ b/internal/serve/entry/asked.go
@@ -43,15 +43,32 @@
 	if a.N != nil && *a.N != 1 {
 		return a, refuse.New(refuse.ReasonBadRequest).WithText("field \"n\" is %d; only 1 is served", *a.N)
 	}
-	if chat && len(a.Messages) == 0 {
+	if chat && empty(a.Messages) {
 		return a, refuse.New(refuse.ReasonBadRequest).WithText("field \"messages\" is missing")
 	}
-	if !chat && len(a.Prompt) == 0 {
+	if !chat && empty(a.Prompt) {
 		return a, refuse.New(refuse.ReasonBadRequest).WithText("field \"prompt\" is missing")
 	}
+	if !chat && severalPrompts(a.Prompt) {
+		return a, refuse.New(refuse.ReasonBadRequest).WithText("field \"prompt\" holds several prompts; only 1 is served")
+	}
 	return a, nil
 }
 
+func empty(field json.RawMessage) bool {
+	return len(field) == 0 || string(field) == "null"
+}
+
+// severalPrompts tells a list of prompts from one prompt, which is a text or a
+// list of token numbers.
+func severalPrompts(prompt json.RawMessage) bool {
+	var list []json.RawMessage
+	if json.Unmarshal(prompt, &list) != nil || len(list) < 2 {
+		return false
+	}
+	return list[0][0] == '"' || list[0][0] == '['
+}
+
 // limit is the longest answer that the caller asks for, 0 for no limit.
 func (a asked) limit() int {
 	return max(a.MaxTokens, a.MaxCompletionTokens)
--- a/internal/serve/entry/services.go
+++ b/internal/serve/entry/services.go
@@ -59,9 +59,9 @@
 	if !ok || service.Kind != mfest.KindPlain {
 		return calls.Call{}, v.view.missing(refuse.ReasonUnknownService)
 	}
-	key := string(c.Request.Header.Peek(calls.HeaderIdempotencyKey))
-	if len(key) > maxKeyBytes {
-		return calls.Call{}, refuse.New(refuse.ReasonBadRequest).WithText("the Idempotency-Key is longer than %d bytes", maxKeyBytes)
+	key, refusal := idempotencyKey(c)
+	if refusal != nil {
+		return calls.Call{}, refusal
 	}
 	method := string(c.Method())
 	request := e.request(v, service)
@@ -78,6 +78,21 @@
 	}, nil
 }
 
+// idempotencyKey reads the caller's key, empty for none. A header that is there
+// but names no single key is refused: its sender counts on the call running
+// once.
+func idempotencyKey(c *fasthttp.RequestCtx) (string, *refuse.Refusal) {
+	given := c.Request.Header.PeekAll(calls.HeaderIdempotencyKey)
+	if len(given) == 0 {
+		return "", nil
+	}
+	key := string(given[0])
+	if len(given) > 1 || key == "" || len(key) > maxKeyBytes {
+		return "", refuse.New(refuse.ReasonBadRequest).WithText("one Idempotency-Key of 1 to %d bytes is wanted", maxKeyBytes)
+	}
+	return key, nil
+}
+
 // splitService takes a path apart. The rest keeps its escapes and its query,
 // as the service is to see them.
 func splitService(original, query string) (service, path string) {
--- a/internal/serve/entry/visits.go
+++ b/internal/serve/entry/visits.go
@@ -109,13 +109,13 @@
 	return nil
 }
 
-const bearer = "Bearer "
+const bearer = "Bearer"
 
 // authenticate finds the workspace of the request's key.
 func authenticate(c *fasthttp.RequestCtx, view View) (string, mfest.Workspace, *refuse.Refusal) {
 	header := string(c.Request.Header.Peek("Authorization"))
-	key, ok := strings.CutPrefix(header, bearer)
-	if !ok || key == "" {
+	scheme, key, _ := strings.Cut(header, " ")
+	if !strings.EqualFold(scheme, bearer) || key == "" {
 		return "", mfest.Workspace{}, refuse.New(refuse.ReasonNoKey)
 	}
 	workspace, ok := view.Index.WorkspaceByKey(key)
--- a/internal/serve/events/events.go
+++ b/internal/serve/events/events.go
@@ -64,9 +64,18 @@
 
 type wireDelta struct {
 	Content   string            `json:"content"`
+	Reasoning string            `json:"reasoning_content"`
+	Refusal   string            `json:"refusal"`
 	ToolCalls []json.RawMessage `json:"tool_calls"`
 }
 
+// generated tells whether a choice carries output of the model, and not only
+// its role or its end.
+func (c wireChoice) generated() bool {
+	d := c.Delta
+	return c.Text != "" || d.Content != "" || d.Reasoning != "" || d.Refusal != "" || len(d.ToolCalls) > 0
+}
+
 // Reader reads events. It is not safe for concurrent use.
 type Reader struct {
 	lines *bufio.Scanner
@@ -116,7 +125,7 @@
 	first := chunk.Choices[0]
 	e.Text = first.Text + first.Delta.Content
 	e.Finish = first.Finish
-	if e.Text != "" || len(first.Delta.ToolCalls) > 0 {
+	if first.generated() {
 		e.Tokens = 1
 	}
 	return e, nil
--- a/internal/serve/events/merge.go
+++ b/internal/serve/events/merge.go
@@ -7,33 +7,46 @@
 
 // Merge collects the events of one completion into one answer.
 type Merge struct {
-	chat    bool
-	id      string
-	model   string
-	created int64
-	text    strings.Builder
-	tools   []toolCall
-	finish  string
-	usage   *Usage
+	chat        bool
+	id          string
+	model       string
+	created     int64
+	fingerprint string
+	text        strings.Builder
+	reasoning   strings.Builder
+	refusal     strings.Builder
+	tools       []toolCall
+	logProbs    LogProbs
+	finish      string
+	usage       *Usage
 }
 
+// LogProbs are the lists of an answer's log probabilities by their field names,
+// such as "content" of a chat or "token_logprobs" of a text completion. Their
+// entries stay as the backend server gave them.
+type LogProbs map[string][]json.RawMessage
+
 // NewMerge returns an empty Merge, for a chat or a text completion.
 func NewMerge(chat bool) *Merge {
 	return &Merge{chat: chat}
 }
 
 type mergeChunk struct {
-	ID      string        `json:"id"`
-	Created int64         `json:"created"`
-	Model   string        `json:"model"`
-	Choices []mergeChoice `json:"choices"`
+	ID          string        `json:"id"`
+	Created     int64         `json:"created"`
+	Model       string        `json:"model"`
+	Fingerprint string        `json:"system_fingerprint"`
+	Choices     []mergeChoice `json:"choices"`
 }
 
 type mergeChoice struct {
-	Delta mergeDelta `json:"delta"`
+	Delta    mergeDelta `json:"delta"`
+	LogProbs LogProbs   `json:"logprobs"`
 }
 
 type mergeDelta struct {
+	Reasoning string      `json:"reasoning_content"`
+	Refusal   string      `json:"refusal"`
 	ToolCalls []toolDelta `json:"tool_calls"`
 }
 
@@ -61,6 +74,7 @@
 		return err
 	}
 	m.id, m.model, m.created = chunk.ID, chunk.Model, chunk.Created
+	m.fingerprint = chunk.Fingerprint
 	m.text.WriteString(e.Text)
 	if e.Finish != "" {
 		m.finish = e.Finish
@@ -69,13 +83,25 @@
 		m.usage = e.Usage
 	}
 	for _, choice := range chunk.Choices {
-		for _, t := range choice.Delta.ToolCalls {
-			m.addTool(t)
-		}
+		m.addChoice(choice)
 	}
 	return nil
 }
 
+func (m *Merge) addChoice(c mergeChoice) {
+	m.reasoning.WriteString(c.Delta.Reasoning)
+	m.refusal.WriteString(c.Delta.Refusal)
+	for _, t := range c.Delta.ToolCalls {
+		m.addTool(t)
+	}
+	for field, entries := range c.LogProbs {
+		if m.logProbs == nil {
+			m.logProbs = LogProbs{}
+		}
+		m.logProbs[field] = append(m.logProbs[field], entries...)
+	}
+}
+
 const maxToolCalls = 128
 
 // addTool appends a part of a tool call: the first part of an index names the
@@ -103,40 +129,62 @@
 	Model   string   `json:"model"`
 	Choices []Choice `json:"choices"`
 	Usage   *Usage   `json:"usage,omitempty"`
+	// Fingerprint names the backend server's configuration.
+	Fingerprint string `json:"system_fingerprint,omitempty"`
 }
 
 // Choice is the one choice of an Answer.
 type Choice struct {
-	Index   int      `json:"index"`
-	Text    *string  `json:"text,omitempty"`
-	Message *Message `json:"message,omitempty"`
-	Finish  string   `json:"finish_reason"`
+	Index    int      `json:"index"`
+	Text     *string  `json:"text,omitempty"`
+	Message  *Message `json:"message,omitempty"`
+	LogProbs LogProbs `json:"logprobs,omitempty"`
+	Finish   string   `json:"finish_reason"`
 }
 
 // Message is the message of a chat completion.
 type Message struct {
-	Role      string     `json:"role"`
-	Content   string     `json:"content"`
+	Role string `json:"role"`
+	// Content is null where the model called tools or refused instead.
+	Content   *string    `json:"content"`
+	Reasoning string     `json:"reasoning_content,omitempty"`
+	Refusal   string     `json:"refusal,omitempty"`
 	ToolCalls []toolCall `json:"tool_calls,omitempty"`
 }
 
 // Answer returns what was collected.
 func (m *Merge) Answer() Answer {
 	text := m.text.String()
-	choice := Choice{Finish: m.finish}
+	choice := Choice{Finish: m.finish, LogProbs: m.logProbs}
 	object := "text_completion"
 	if m.chat {
 		object = "chat.completion"
-		choice.Message = &Message{Role: "assistant", Content: text, ToolCalls: m.tools}
+		choice.Message = m.message()
 	} else {
 		choice.Text = &text
 	}
 	return Answer{
-		ID:      m.id,
-		Object:  object,
-		Created: m.created,
-		Model:   m.model,
-		Choices: []Choice{choice},
-		Usage:   m.usage,
+		ID:          m.id,
+		Object:      object,
+		Created:     m.created,
+		Model:       m.model,
+		Choices:     []Choice{choice},
+		Usage:       m.usage,
+		Fingerprint: m.fingerprint,
+	}
+}
+
+func (m *Merge) message() *Message {
+	text := m.text.String()
+	message := &Message{
+		Role:      "assistant",
+		Content:   &text,
+		Reasoning: m.reasoning.String(),
+		Refusal:   m.refusal.String(),
+		ToolCalls: m.tools,
+	}
+	if text == "" && (len(m.tools) > 0 || message.Refusal != "") {
+		message.Content = nil
 	}
+	return message
 }
--- a/internal/serve/hostd/fault_test.go
+++ b/internal/serve/hostd/fault_test.go
@@ -16,6 +16,7 @@
 
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/fakes/engine"
+	"siskinsaddle/internal/fakes/plain"
 	"siskinsaddle/internal/serve/events"
 	"siskinsaddle/internal/serve/hostd"
 	"siskinsaddle/internal/serve/refuse"
@@ -157,6 +158,13 @@
 	{"no model", "POST", "/v1/chat/completions", "", `{"messages":[1]}`, refuse.ReasonBadRequest, "standard"},
 	{"no messages", "POST", "/v1/chat/completions", "", `{"model":"canvas-small"}`, refuse.ReasonBadRequest, "standard"},
 	{"two choices", "POST", "/v1/completions", "", `{"model":"canvas-small","prompt":"x","n":2}`, refuse.ReasonBadRequest, "standard"},
+	{"null messages", "POST", "/v1/chat/completions", "", `{"model":"canvas-small","messages":null}`, refuse.ReasonBadRequest, "standard"},
+	{"two prompts", "POST", "/v1/completions", "", `{"model":"canvas-small","prompt":["x","y"]}`, refuse.ReasonBadRequest, "standard"},
+	{"empty idempotency key", "POST", "/services/yard-app/bookings", "Idempotency-Key:\r\n", "x", refuse.ReasonBadRequest, "standard"},
+	{"two idempotency keys", "POST", "/services/yard-app/bookings", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n", "x", refuse.ReasonBadRequest, "standard"},
+	{"two lengths", "POST", "/services/yard-app/x", "Content-Length: 1\r\nContent-Length: 2\r\n", "xy", refuse.ReasonBadRequest, ""},
+	{"encoded service", "GET", "/services/%79ard-app/x", "", "", refuse.ReasonUnknownService, "standard"},
+	{"double slash", "GET", "//services/yard-app/x", "", "", refuse.ReasonUnknownService, "standard"},
 	{"unknown model", "POST", "/v1/chat/completions", "", `{"model":"none","messages":[1]}`, refuse.ReasonUnknownModel, "standard"},
 	{"unknown class", "POST", "/v1/chat/completions", "X-Class: none\r\n", goodBody, refuse.ReasonUnknownClass, ""},
 	{"no key", "GET", "/v1/models", "Authorization: Basic x\r\n", "", refuse.ReasonNoKey, ""},
@@ -184,7 +192,11 @@
 	}
 	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\n%s\r\n%s", r.method, r.path, header, r.body)
 	b.c.Assert(err, qt.IsNil)
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	reader := bufio.NewReader(conn)
+	answer, err := http.ReadResponse(reader, nil)
+	for err == nil && answer.StatusCode == http.StatusContinue {
+		answer, err = http.ReadResponse(reader, nil)
+	}
 	b.c.Assert(err, qt.IsNil)
 	return answer
 }
@@ -213,6 +225,39 @@
 	b.c.Assert(b.host.Open(), qt.Equals, 0)
 }
 
+// goodRequests are ways to write a call of a plain service, each with the path
+// and the body that the service sees.
+var goodRequests = []struct {
+	name, method, path, header, body string
+	wantPath, wantBody               string
+}{
+	{"escapes and query", "GET", "/services/yard-app/a%20b/%2F?x=1&y=%2F", "", "", "/a%20b/%2F?x=1&y=%2F", ""},
+	{"no path", "GET", "/services/yard-app", "", "", "/", ""},
+	{"absolute form", "GET", "http://x/services/yard-app/a?q=1", "", "", "/a?q=1", ""},
+	{"line ends in the path", "GET", "/services/yard-app/a%0d%0aX-A:b", "", "", "/a%0d%0aX-A:b", ""},
+	{"chunked", "POST", "/services/yard-app/a", "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n", "2\r\nxy\r\n0\r\n\r\n", "/a", "xy"},
+	{"continue", "PUT", "/services/yard-app/a", "Expect: 100-continue\r\n", "xy", "/a", "xy"},
+	{"patch", "PATCH", "/services/yard-app/a", "", "xy", "/a", "xy"},
+	{"delete", "DELETE", "/services/yard-app/a", "", "", "/a", ""},
+	{"options", "OPTIONS", "/services/yard-app/a", "", "", "/a", ""},
+	{"scheme in small letters", "GET", "/services/yard-app/a", "Authorization: bearer demo-key\r\n", "", "/a", ""},
+}
+
+// A call reaches the service as the caller wrote it.
+func TestCallsArePassedOn(t *testing.T) {
+	b := newBed(t)
+	for _, r := range goodRequests {
+		b.c.Run(r.name, func(c *qt.C) {
+			answer := b.raw(badRequest{method: r.method, path: r.path, header: r.header, body: r.body})
+			defer func() { _ = answer.Body.Close() }()
+			c.Assert(answer.StatusCode, qt.Equals, 200)
+			var echo plain.Echo
+			c.Assert(json.NewDecoder(answer.Body).Decode(&echo), qt.IsNil)
+			c.Assert([]string{echo.Method, echo.Path, echo.Body}, qt.DeepEquals, []string{r.method, r.wantPath, r.wantBody})
+		})
+	}
+}
+
 // An unknown model that an OpenAI client asks for comes back as its API error.
 func TestRefusalIsAnAPIError(t *testing.T) {
 	b := newBed(t)
