Verbs: no completion, help of an unknown verb is wrong use

Cause: the library's own completion and help verbs were left in; "help none" printed the root's usage and exited with 0, and arguments too many were called an unknown command. Before: exit code 0 for "help none"; after: 2.

--- a/internal/tools/verbs/bench.go
+++ b/internal/tools/verbs/bench.go
@@ -26,7 +26,7 @@
 	var f benchFlags
 	c := &cobra.Command{
 		Use:   "bench SCENARIO...",
-		Short: "Measure the policies against model engines in virtual time",
+		Short: "Measures the policies against model engines in virtual time",
 		Long: `Runs the policy code against model engines in virtual time, for each scenario
 file, and reports what each policy reached and which targets were met. The same
 files and seed give the same report.`,
--- a/internal/tools/verbs/root.go
+++ b/internal/tools/verbs/root.go
@@ -35,7 +35,10 @@
 
 // noArgs refuses arguments.
 func noArgs(c *cobra.Command, args []string) error {
-	return wrongUse(cobra.NoArgs(c, args))
+	if len(args) == 0 {
+		return nil
+	}
+	return wrongUse(errors.Newf("%s takes no argument %q", c.CommandPath(), args[0]))
 }
 
 // oneFile wants one argument, the name of a file.
@@ -74,11 +77,32 @@
 			return c.Help()
 		},
 	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.SetHelpCommand(newHelp())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongUse(err) })
 	root.AddCommand(newServe(), newSettings(), newStatus(), newVersion(), NewStandin(), NewBench(), newLoad(), NewManifest())
 	return root
 }
 
+// newHelp is the library's help verb, but for a verb that does not exist.
+func newHelp() *cobra.Command {
+	return &cobra.Command{
+		Use:     "help [VERB]",
+		Short:   "Prints the usage of a verb",
+		Example: "  siskinsaddle help manifest push",
+		RunE: func(c *cobra.Command, args []string) error {
+			verb, rest, err := c.Root().Find(args)
+			if err != nil {
+				return wrongUse(err)
+			}
+			if len(rest) > 0 {
+				return unknownVerb(c, rest)
+			}
+			return verb.Help()
+		},
+	}
+}
+
 // unknownVerb refuses a verb that does not exist. Without it the command line
 // would print the help and call that done.
 func unknownVerb(_ *cobra.Command, args []string) error {
--- a/internal/tools/verbs/standin.go
+++ b/internal/tools/verbs/standin.go
@@ -30,7 +30,7 @@
 	var f standInFlags
 	c := &cobra.Command{
 		Use:   "standin",
-		Short: "Run stand-ins for the model engines, plain services and the platform",
+		Short: "Runs stand-ins for the model engines, plain services and the platform",
 		Long: `Runs stand-ins on loopback until it is interrupted: model engines, plain
 services, and the platform's table service, object store and list of machines.
 
