--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -108,7 +108,7 @@
 	case !s.allowed(c):
 		c.Error("a bearer token is wanted", fasthttp.StatusUnauthorized)
 	case string(c.Path()) != "/status" || !c.IsGet():
-		c.Error("GET /status exists", fasthttp.StatusNotFound)
+		c.Error("only GET /status exists", fasthttp.StatusNotFound)
 	default:
 		s.answer(c)
 	}
