Requests may name an adapter

Cause: adapters are wanted by the manifest and loaded by orders, but a request that named one was refused with UnknownModel. After: TestOrdersFollowTheManifest asks for an adapter and gets an answer. Conclusion: models and adapters are named in the same way by requests.

--- a/internal/serve/entry/chats.go
+++ b/internal/serve/entry/chats.go
@@ -194,8 +194,8 @@
 	}
 	list := wireModels{Object: "list", Data: []wireModel{}}
 	for _, s := range view.Index.Manifest.Services {
-		for _, m := range s.Models {
-			list.Data = append(list.Data, wireModel{ID: m.Name, Object: "model", OwnedBy: s.Name})
+		for _, name := range s.Offered() {
+			list.Data = append(list.Data, wireModel{ID: name, Object: "model", OwnedBy: s.Name})
 		}
 	}
 	body, err := json.Marshal(list)
--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -1,6 +1,7 @@
 package hostd_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -268,8 +269,15 @@
 	next := withDomains(mfest.Default(), []string{"prairie-a"})
 	next.Base = 1
 	next.Services = slices.Clone(next.Services)
-	next.Services[0].Models = []mfest.Model{{Name: "canvas-small", Version: "2"}}
+	next.Services[0].Models = []mfest.Model{{Name: "canvas-small", Version: "2", Adapters: []string{"awnings"}}}
 	b.push(next)
 	b.awaits(loaded("canvas-small@2"))
+	// The adapter is loaded too, and a request may name it.
+	b.awaits(func() bool {
+		q := question(3)
+		q.Model = "awnings"
+		_, err := b.client().CreateChatCompletion(context.Background(), q)
+		return err == nil
+	})
 	b.c.Assert(b.stand.Engine(engines[0]).StaleOrders()+b.stand.Engine(engines[1]).StaleOrders(), qt.Equals, 0)
 }
--- a/internal/serve/hostd/groups.go
+++ b/internal/serve/hostd/groups.go
@@ -78,9 +78,7 @@
 		s.Models = p.Models
 		return s
 	}
-	for _, m := range declared.Models {
-		s.Models = append(s.Models, m.Name)
-	}
+	s.Models = declared.Offered()
 	return s
 }
 
--- a/internal/share/mfest/index.go
+++ b/internal/share/mfest/index.go
@@ -51,9 +51,22 @@
 			x.models[model.Name] = i
 		}
 	}
+	x.addAdapters()
 	return x
 }
 
+// addAdapters lets a request name an adapter in place of its model. A model of
+// that name goes first.
+func (x *Index) addAdapters() {
+	for i, s := range x.Manifest.Services {
+		for _, name := range s.Offered() {
+			if _, taken := x.models[name]; !taken {
+				x.models[name] = i
+			}
+		}
+	}
+}
+
 // WorkspaceByKey returns the workspace whose key this is. Only the SHA-256 of
 // the key is compared, so the time taken tells nothing about any other key.
 func (x *Index) WorkspaceByKey(key string) (Workspace, bool) {
--- a/internal/share/mfest/mfest.go
+++ b/internal/share/mfest/mfest.go
@@ -86,6 +86,17 @@
 	LongShare  float64 `json:",omitempty"`
 }
 
+// Offered names the service's models and their adapters, which requests name in
+// the same way.
+func (s Service) Offered() []string {
+	var names []string
+	for _, m := range s.Models {
+		names = append(names, m.Name)
+		names = append(names, m.Adapters...)
+	}
+	return names
+}
+
 // Model is a model in one version with its adapters.
 type Model struct {
 	Name     string
