Punctual requests before late ones of any workspace; fairness from three times the share

Cause: late requests of workspaces within their share went ahead of punctual ones of others, which was most of the waste that was left; and workspaces a little above an equal share lost their deadline order at the crest.

--- a/internal/policy/sched/fair.go
+++ b/internal/policy/sched/fair.go
@@ -65,12 +65,17 @@
 	}
 }
 
+// overFactor is how many times its share a workspace holds from which its
+// requests go behind. Below it deadlines alone decide, since workspaces of
+// unlike size are usual.
+const overFactor = 3
+
 // overShare tells whether a workspace that has running slots of its tier's
-// total has reached its share by weight of one slot more than the total.
-// For example, of three equal workspaces that hold 4, 1 and 0 slots, the share
-// is 6/3 = 2, and only the first is over it.
+// total has reached a multiple of its share, which is that by weight of one slot
+// more than the total. For example, of four equal workspaces that hold 6, 1, 0
+// and 0 slots, the share is 8/4 = 2, and only the first is over it.
 func overShare(running, weight, total, weights int) bool {
-	return running*weights >= (total+1)*weight
+	return running*weights >= overFactor*(total+1)*weight
 }
 
 // refresh brings the order of the lanes up to date with what is running.
--- a/internal/policy/sched/queue.go
+++ b/internal/policy/sched/queue.go
@@ -84,12 +84,12 @@
 	if a.lane.class.begun != b.lane.class.begun {
 		return a.lane.class.begun
 	}
-	if a.share.over != b.share.over {
-		return b.share.over
-	}
 	if a.headLate() != b.headLate() {
 		return b.headLate()
 	}
+	if a.share.over != b.share.over {
+		return b.share.over
+	}
 	if a.headLate() {
 		return b.head().before(a.head())
 	}
--- a/internal/policy/sched/sched.go
+++ b/internal/policy/sched/sched.go
@@ -13,12 +13,11 @@
 //  1. the class whose floor is due: it has waiting work and has been given no
 //     slot for half of its FloorPeriod. The most overdue class goes first.
 //  2. the most urgent tier. Within the tier, requests whose answer has begun
-//     elsewhere go first, and requests of workspaces that hold more than their
-//     fair share of the tier's slots go behind the others.
-//     Among these, requests that can still meet their deadline go first, by
-//     the time at which they must start. Late ones follow, the least late
-//     first, so that a request whose target is lost does not cost the next
-//     one its target too.
+//     elsewhere go first, then those that can still meet their deadline, by the
+//     time at which they must start. Late ones follow, the least late first, so
+//     that a request whose target is lost does not cost the next one its target
+//     too. Of both, requests of workspaces that hold three times their fair
+//     share of the tier's slots or more go behind the others.
 //
 // A slot is of no use to a request whose model the server has not loaded, to
 // long work on a server whose slots for long work are taken, and to tiers
