A grant to a lost server is no service, and no sample of the hold time

Cause: the mean hold time fell with each request that a crashed server refused at once, and the floor counted it as served.

--- a/internal/policy/audit/audit.go
+++ b/internal/policy/audit/audit.go
@@ -32,7 +32,8 @@
 //   - While a class has waiting work and has been given no slot for half of its
 //     FloorPeriod, a slot that is usable for it goes to no class that is less
 //     overdue. So the gap between two grants is at most the FloorPeriod as
-//     long as some usable slot becomes free in each half of it.
+//     long as some usable slot becomes free in each half of it. A grant that
+//     gave no token because its server was lost does not count.
 //   - A server that runs nothing is not left idle while a request waits for
 //     which it is usable.
 //
@@ -146,6 +147,10 @@
 	class  *class
 	server *server
 	long   bool
+	// granted is when it was granted, and unserved since when its class had
+	// been unserved then.
+	granted  clock.Millis
+	unserved clock.Millis
 }
 
 // New returns an Auditor without servers.
@@ -266,8 +271,16 @@
 	}
 }
 
-// Release is told what the group is told.
-func (a *Auditor) Release(_ clock.Millis, d sched.Done) { a.stop(d.ID) }
+// Release is told what the group is told. A grant that gave no token, because
+// its server was lost, was no service.
+func (a *Auditor) Release(_ clock.Millis, d sched.Done) {
+	q := a.running[d.ID]
+	lost := d.Outcome == sched.OutcomeFailed || d.Outcome == sched.OutcomeSilent
+	if q != nil && lost && d.Tokens == 0 && q.class.unserved == q.granted {
+		q.class.unserved = q.unserved
+	}
+	a.stop(d.ID)
+}
 
 // Decided checks the decisions of one step, in their order, and what the group
 // left undone.
--- a/internal/policy/audit/rules.go
+++ b/internal/policy/audit/rules.go
@@ -29,6 +29,7 @@
 	}
 	if !q.Spilled {
 		q.class.measure(now)
+		q.granted, q.unserved = now, q.class.unserved
 		q.class.unserved = now
 	}
 	a.leave(q)
--- a/internal/policy/sched/dispatch.go
+++ b/internal/policy/sched/dispatch.go
@@ -64,8 +64,8 @@
 	c := e.queue.lane.class
 	s := g.choose(now, e.Request, n)
 	g.remove(e)
+	g.start(now, e.Request, s).unserved = c.unserved
 	c.unserved = now
-	g.start(now, e.Request, s)
 	g.decide(Decision{ID: e.ID, Host: e.Host, Kind: DecisionGrant, Server: s.Name, Floor: floor})
 }
 
@@ -83,7 +83,7 @@
 }
 
 // start enters a running request.
-func (g *Group) start(now clock.Millis, r Request, s *server) {
+func (g *Group) start(now clock.Millis, r Request, s *server) *run {
 	v := &run{Request: r, server: s, share: g.shareOf(r), granted: now, long: g.isLong(r.PredictedTokens)}
 	g.running[r.ID] = v
 	v.share.addRunning(1)
@@ -94,10 +94,11 @@
 	if r.Spilled {
 		s.spilled++
 	}
+	return v
 }
 
 // stop takes a running request out again.
-func (g *Group) stop(now clock.Millis, r *run) {
+func (g *Group) stop(now clock.Millis, r *run, d Done) {
 	delete(g.running, r.ID)
 	r.share.addRunning(-1)
 	r.share.release()
@@ -108,7 +109,12 @@
 	if r.Spilled {
 		r.server.spilled--
 	}
-	g.class(r.Request).observeHold(now - r.granted)
+	c := g.class(r.Request)
+	if d.Outcome.lost() {
+		c.unserve(r, d)
+		return
+	}
+	c.observeHold(now - r.granted)
 }
 
 // observe takes a progress report: work that has grown long counts as long
--- a/internal/policy/sched/floors.go
+++ b/internal/policy/sched/floors.go
@@ -31,4 +31,13 @@
 	return true
 }
 
+// unserve takes back the service of a grant that gave no token, because its
+// server was lost: the class is as overdue as it was before, unless it has been
+// granted another slot since.
+func (c *class) unserve(r *run, d Done) {
+	if d.Tokens == 0 && c.unserved == r.granted {
+		c.unserved = r.unserved
+	}
+}
+
 func (c *class) floorEnd() clock.Millis { return c.unserved + c.FloorPeriod }
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -246,7 +246,7 @@
 		return
 	}
 	g.observe(now, r, d.Progress)
-	g.stop(now, r)
+	g.stop(now, r, d)
 	g.settle(now)
 }
 
--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -28,6 +28,7 @@
 	server  string
 	granted clock.Millis
 	long    bool
+	before  clock.Millis
 }
 
 func (n *naive) class(name string) sched.Class {
@@ -165,7 +166,7 @@
 
 func (n *naive) grant(now clock.Millis, at int, floor bool) {
 	e := n.waiting[at]
-	e.server, e.granted = n.server(e, floor), now
+	e.server, e.granted, e.before = n.server(e, floor), now, n.unserved[e.Class]
 	n.waiting = slices.Delete(n.waiting, at, at+1)
 	n.running = append(n.running, e)
 	n.unserved[e.Class] = now
@@ -406,14 +407,18 @@
 	n.settle(now, "")
 }
 
-func (n *naive) release(now clock.Millis, id string) {
+func (n *naive) release(now clock.Millis, id string, lost bool) {
 	at := slices.IndexFunc(n.running, func(e naiveEntry) bool { return e.ID == id })
 	if at < 0 {
 		return
 	}
 	e := n.running[at]
 	n.running = slices.Delete(n.running, at, at+1)
-	if n.hold[e.Class] == 0 {
+	if lost {
+		if n.unserved[e.Class] == e.granted {
+			n.unserved[e.Class] = e.before
+		}
+	} else if n.hold[e.Class] == 0 {
 		n.hold[e.Class] = float64(now - e.granted)
 	} else {
 		n.hold[e.Class] += 0.1 * (float64(now-e.granted) - n.hold[e.Class])
@@ -424,7 +429,7 @@
 func (n *naive) cancel(now clock.Millis, id string) {
 	at := slices.IndexFunc(n.waiting, func(e naiveEntry) bool { return e.ID == id })
 	if at < 0 {
-		n.release(now, id)
+		n.release(now, id, false)
 		return
 	}
 	n.waiting = slices.Delete(n.waiting, at, at+1)
--- a/internal/policy/sched/server.go
+++ b/internal/policy/sched/server.go
@@ -22,6 +22,8 @@
 	share   *share
 	granted clock.Millis
 	long    bool
+	// unserved is since when the class had been unserved at the grant.
+	unserved clock.Millis
 }
 
 func (s *server) free() int {
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -127,6 +127,9 @@
 	OutcomeSilent      Outcome = "Silent"
 )
 
+// lost tells that the server or the connection failed.
+func (o Outcome) lost() bool { return o == OutcomeFailed || o == OutcomeSilent }
+
 // Progress is what the entry host has seen of a running request so far.
 type Progress struct {
 	ID     string
