A host that the platform lists stays registered

Cause: a registration was removed after ten minutes of silence. In a split within a failure domain that lasts longer, with the platform on one side only, a living host would lose its weight in the domain's confirmation. After: TestCleanLeavesListedHosts, which failed for the first two cases before, passes. Conclusion: only what the platform no longer lists is forgotten.

--- a/internal/share/hosts/register.go
+++ b/internal/share/hosts/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -155,15 +156,22 @@
 	return hosts, nil
 }
 
-// clean removes the registrations of hosts that have long been dead. One host
-// of the domain does it.
+// clean removes the registrations of hosts that have long been dead and that
+// the platform no longer lists. One host of the domain does it. A host that is
+// only cut off from this one stays registered, since its registration counts
+// when its domain confirms a manifest; so nothing is removed while the list
+// cannot be read.
 func (n *Node) clean(ctx context.Context, all []registered) {
 	domain := n.Self.FailureDomain
 	if cleaner, ok := Winner(registrationKind(domain), n.View().Duty(domain)); !ok || cleaner.Name != n.Self.Name {
 		return
 	}
+	listed, err := n.List.Read(ctx)
+	if err != nil {
+		return
+	}
 	for _, r := range all {
-		if !n.isStale(r.host.Name) {
+		if !n.isStale(r.host.Name) || names(listed, r.host.Name) {
 			continue
 		}
 		if err := n.Table.Delete(ctx, registrationKind(domain), r.host.Name, table.IfToken(r.token)); err != nil {
@@ -172,6 +180,12 @@
 	}
 }
 
+func names(listed []roll.Entry, host string) bool {
+	return slices.ContainsFunc(listed, func(e roll.Entry) bool {
+		return e.Kind == roll.KindHost && e.Name == host
+	})
+}
+
 func (n *Node) isStale(name string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
