--- a/internal/serve/hostd/claims.go
+++ b/internal/serve/hostd/claims.go
@@ -20,12 +20,15 @@
 	claimPending   = 4_096
 	claimHeldBytes = 32 << 20
 	claimRetry     = 200 * clock.Millis(1)
-	claimRetention = 24 * clock.Hour
-	// sweepPeriod and sweepPage bound the rate at which expired claims are
-	// read and removed: 100 records in 5 s.
+	// sweepPeriod is the time between two pages while none has expired,
+	// sweepSoon while some have.
 	sweepPeriod = 5 * clock.Second
+	sweepSoon   = 200 * clock.Millis(1)
 	sweepPage   = 100
 	sweepDuty   = "claims/sweep"
+	// statusStale is the answer of a service that checks fencing numbers to an
+	// old one.
+	statusStale = 409
 )
 
 func (h *Host) newDesk() *claim.Desk {
@@ -38,7 +41,7 @@
 		Incarnation:  uint64(h.link.Incarnation),
 		Gone:         h.gone,
 		LookUp:       h.lookUp,
-		Retention:    claimRetention,
+		Retention:    h.governed.retention,
 		InlineBytes:  claimInlineBytes,
 		MaxPending:   claimPending,
 		MaxHeldBytes: claimHeldBytes,
@@ -48,24 +51,37 @@
 }
 
 // sweepClaims removes expired claims page by page until the context ends. One
-// host of the deployment's live ones sweeps at a time.
+// of the deployment's live hosts sweeps at a time. While it finds expired ones,
+// the next page follows soon, so that up to 500 claims a second can go.
 func (h *Host) sweepClaims(ctx context.Context) {
+	wait := sweepPeriod
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.Clock.Pulse(sweepPeriod):
+		case <-h.Clock.Pulse(wait):
 		}
-		sweeper, ok := hosts.Winner(sweepDuty, h.members.View().Hosts())
-		if !ok || sweeper.Name != h.Settings.HostName {
-			continue
-		}
-		if _, err := h.desk.Sweep(ctx, sweepPage); err != nil {
-			h.Log.WithPrefix("claims").Debug("Could not remove expired claims.", "error", err)
+		wait = sweepPeriod
+		if h.sweepOnce(ctx) > 0 {
+			wait = sweepSoon
 		}
 	}
 }
 
+// sweepOnce reads a page if the duty is this host's and returns how many
+// claims it removed.
+func (h *Host) sweepOnce(ctx context.Context) int {
+	sweeper, ok := hosts.Winner(sweepDuty, h.members.View().Hosts())
+	if !ok || sweeper.Name != h.Settings.HostName {
+		return 0
+	}
+	removed, err := h.desk.Sweep(ctx, sweepPage)
+	if err != nil {
+		h.Log.WithPrefix("claims").Debug("Could not remove expired claims.", "error", err)
+	}
+	return removed
+}
+
 // claimReasons gives the reasons of the claim desk their refusals.
 var claimReasons = map[claim.Reason]refuse.Reason{
 	claim.ReasonStoreDown:      refuse.ReasonStoreDown,
@@ -81,7 +97,8 @@
 // outcome. A caller that leaves does not stop a call that is under way.
 func (h *Host) keyed(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
 	ctx = context.WithoutCancel(ctx)
-	verdict := h.desk.Claim(ctx, h.order(c))
+	order := h.order(c)
+	verdict := h.desk.Claim(ctx, order)
 	switch verdict.Kind {
 	case claim.VerdictReplay:
 		answer := fromResponse(verdict.Response)
@@ -94,6 +111,10 @@
 	}
 	tried := send(ctx, c.Method, c.Path, verdict.Ticket.Fence)
 	switch {
+	case tried.Err == nil && order.ChecksFencing && tried.Answer.Status == statusStale:
+		// The service has seen a later owner of this claim.
+		h.desk.Unknown(verdict.Ticket)
+		return calls.Answer{}, refuse.New(refuse.ReasonOutcomeUnknown)
 	case tried.Err == nil:
 		h.desk.Finish(verdict.Ticket, toResponse(tried.Answer))
 		return tried.Answer, nil
--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -1,6 +1,7 @@
 package hostd_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 
+	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/fakes/cloud"
 	"siskinsaddle/internal/fakes/engine"
 	"siskinsaddle/internal/fakes/plain"
@@ -180,10 +182,102 @@
 	})
 	b.push(next)
 	for _, h := range b.hosts {
-		b.awaits(func() bool {
-			code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/metrics")
-			return err == nil && code == 200 && h.Count.Gauge("siskinsaddle_manifest_generation") == 2
-		})
+		b.awaitGeneration(h, 2)
 		b.c.Assert(b.book(h, "POST", fmt.Sprint(h.Address())).reason, qt.Equals, refuse.ReasonWrongKey)
 	}
+	next.Base = 2
+	next.Limits.MaxBodyBytes = 10
+	b.push(next)
+	b.awaitGeneration(b.host, 3)
+	b.c.Assert(b.book(b.host, "POST", "long").reason, qt.Equals, refuse.ReasonBodyTooLarge)
+}
+
+func (b *bed) awaitGeneration(h *hostd.Host, generation int64) {
+	b.awaits(func() bool {
+		code, _, err := fasthttp.Get(nil, "http://"+h.Address()+"/metrics")
+		return err == nil && code == 200 && h.Count.Gauge("siskinsaddle_manifest_generation") == generation
+	})
+}
+
+// A server that takes long to begin is hedged: the other one answers, and the
+// caller has the whole answer once.
+func TestSlowStartIsHedged(t *testing.T) {
+	b := newBed(t)
+	want, err := b.answer(3, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+	for range 40 {
+		_, err := b.answer(3, -1, nil)
+		b.c.Assert(err, qt.IsNil)
+	}
+	b.stand.Engine(engines[0]).SetFaults(engine.Faults{LateMilliseconds: 250})
+	for range 8 {
+		got, err := b.answer(3, -1, nil)
+		b.c.Assert(err, qt.IsNil)
+		b.c.Assert(got, qt.Equals, want)
+	}
+	won := b.host.Count.Count("siskinsaddle_hedges_total",
+		count.Label{Key: "reason", Value: "Won"}, count.Label{Key: "class", Value: "standard"})
+	b.c.Assert(won > 0, qt.IsTrue)
+}
+
+// A server that turns four times slower than its sibling gets less work.
+func TestSlowedServerGetsLessWork(t *testing.T) {
+	b := newBed(t)
+	run := func(rounds int) (slow, fast int) {
+		before := []int{b.stand.Engine(engines[0]).Counts().Requests, b.stand.Engine(engines[1]).Counts().Requests}
+		var work sync.WaitGroup
+		for range 4 {
+			work.Add(1)
+			go func() {
+				defer work.Done()
+				for range rounds {
+					_, err := b.answer(15, -1, nil)
+					b.c.Check(err, qt.IsNil)
+				}
+			}()
+		}
+		work.Wait()
+		return b.stand.Engine(engines[0]).Counts().Requests - before[0],
+			b.stand.Engine(engines[1]).Counts().Requests - before[1]
+	}
+	run(5)
+	b.stand.Engine(engines[0]).SetFaults(engine.Faults{Slowdown: 4})
+	run(5)
+	slow, fast := run(10)
+	b.c.Assert(slow*2 < fast, qt.IsTrue, qt.Commentf("slow %d, fast %d", slow, fast))
+}
+
+// The engines are brought to the models that the manifest wants, and to other
+// ones once it changes, by one host of the failure domain.
+func TestOrdersFollowTheManifest(t *testing.T) {
+	b := newBed(t, "prairie-a", "prairie-a")
+	loaded := func(want ...string) func() bool {
+		return func() bool {
+			for _, name := range engines {
+				var models []string
+				for _, m := range b.stand.Engine(name).State().Models {
+					models = append(models, m.Name+"@"+m.Version)
+				}
+				if !slices.Equal(models, want) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	b.awaits(loaded("canvas-small@1"))
+	next := withDomains(mfest.Default(), []string{"prairie-a"})
+	next.Base = 1
+	next.Services = slices.Clone(next.Services)
+	next.Services[0].Models = []mfest.Model{{Name: "canvas-small", Version: "2", Adapters: []string{"awnings"}}}
+	b.push(next)
+	b.awaits(loaded("canvas-small@2"))
+	// The adapter is loaded too, and a request may name it.
+	b.awaits(func() bool {
+		q := question(3)
+		q.Model = "awnings"
+		_, err := b.client().CreateChatCompletion(context.Background(), q)
+		return err == nil
+	})
+	b.c.Assert(b.stand.Engine(engines[0]).StaleOrders()+b.stand.Engine(engines[1]).StaleOrders(), qt.Equals, 0)
 }
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,7 @@
 	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/plat/roll"
 	"siskinsaddle/internal/plat/table"
+	"siskinsaddle/internal/serve/admin"
 	"siskinsaddle/internal/serve/calls"
 	"siskinsaddle/internal/serve/entry"
 	"siskinsaddle/internal/serve/probe"
@@ -64,7 +66,9 @@
 	desk      *claim.Desk
 	calls     *calls.Calls
 	entry     *entry.Entry
+	admin     *admin.Server
 
+	orders  sync.WaitGroup
 	cancel  context.CancelFunc
 	stopped chan struct{}
 }
@@ -106,6 +110,10 @@
 	if err := h.entry.Listen(); err != nil {
 		return err
 	}
+	h.admin = h.newAdmin()
+	if err := h.admin.Start(); err != nil {
+		return err
+	}
 	return h.run(ctx)
 }
 
@@ -127,6 +135,11 @@
 	go h.sweepClaims(background)
 	go h.runManifest(background)
 	go h.prober.Run(background)
+	h.orders.Add(1)
+	go func() {
+		defer h.orders.Done()
+		h.runOrders(background)
+	}()
 	h.stopped = make(chan struct{})
 	go h.serve()
 	return nil
@@ -153,6 +166,11 @@
 	return h.entry.Address()
 }
 
+// OperatorAddress is the operators' address.
+func (h *Host) OperatorAddress() string {
+	return h.admin.Listening()
+}
+
 // Open is how many requests are open.
 func (h *Host) Open() int {
 	return h.entry.Open()
@@ -176,14 +194,16 @@
 		h.Log.Warn("Could not remove the registration.", "error", stopErr)
 	}
 	h.cancel()
+	h.admin.Stop()
+	h.orders.Wait()
 	h.pool.Release()
 	return err
 }
 
-// ready tells whether the host knows the backend servers and the other hosts.
-// Before that it could only decide alone, on a small share of the slots.
+// ready tells whether the host knows the backend servers and who decides for
+// them. Before that it could only decide alone, on a small share of the slots.
 func (h *Host) ready() bool {
-	return h.machines.ready() && h.members.View().Joined
+	return h.machines.ready() && h.keeper.Settled()
 }
 
 func (h *Host) newEntry() *entry.Entry {
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -62,11 +62,13 @@
 	s.HostName = name
 	s.FailureDomain = domain
 	s.Callers.Address = "127.0.0.1:0"
+	s.Callers.OperatorAddress = "127.0.0.1:0"
 	s.Links.Address = "127.0.0.1:0"
 	s.Stop.BalancerMilliseconds = 1
 	s.Callers.SendTimeoutMilliseconds = 300
 	s.Backend.ProgressTimeoutMilliseconds = 300
 	s.Platform.ListPeriodMilliseconds = 200
+	s.Orders.LoadPeriodMilliseconds = 200
 	a := amazon.Settings{
 		TableEndpoint:  "http://" + platform,
 		ObjectEndpoint: "http://" + platform,
--- a/internal/share/accept/accept_test.go
+++ b/internal/share/accept/accept_test.go
@@ -1,6 +1,7 @@
 package accept
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/share/mfest"
 )
 
@@ -101,15 +103,25 @@
 	c.Assert(u.answer.Text, qt.Matches, ".*not confirmed in time by b; generation 1 stays in force")
 	w.expect(c, ModeReady, 1)
 
-	// The operator leaves b behind, which goes on as before.
+	u = w.push(manifest(1, 2), always)
+	w.run(clock.Second)
+	u.cancel()
+	w.run(clock.Second)
+	c.Assert(u.answer.Outcome, qt.Equals, NotAccepted)
+	c.Assert(u.answer.Reason, qt.Equals, ReasonCancelled)
+
+	// The operator leaves b behind, which goes on as before, also on a host
+	// that starts there and has its word from a peer.
 	u = w.push(manifest(1, 2), always, "b")
 	w.run(4 * clock.Second)
-	c.Assert(u.answer.Text, qt.Equals, "generation 3 is accepted; left behind: b")
-	w.expect(c, ModeReady, 3, "a-0", "a-1")
+	c.Assert(u.answer.Text, qt.Equals, "generation 4 is accepted; left behind: b")
+	w.start("b-1", "b")
+	w.run(2 * clock.Second)
+	w.expect(c, ModeReady, 4, "a-0", "a-1")
 	w.expect(c, ModeReady, 1, "b-0", "b-1")
 	w.isolate("b", false)
 	w.run(2 * clock.Second)
-	w.expect(c, ModeReady, 3)
+	w.expect(c, ModeReady, 4)
 }
 
 // cutAfterConfirm stages a manifest and cuts b off between its confirmation
@@ -175,10 +187,11 @@
 
 func TestLongPlatformOutage(t *testing.T) {
 	c := qt.New(t)
-	w := settled(c, 3, 2)
+	w := settled(c, 3, 1)
 	for _, name := range w.names() {
 		w.hosts[name].cutOff = true
 	}
+	w.isolate("b", true) // its only host has nobody to ask
 	w.run(clock.Minute)
 	w.expect(c, ModeReady, 1)
 	// One machine is lost without a sign: three go on as a majority of two.
@@ -187,7 +200,7 @@
 		w.cut("a-2", name, true)
 	}
 	w.run(clock.Minute)
-	w.expect(c, ModeReady, 1, "a-0", "a-1", "b-0", "b-1")
+	w.expect(c, ModeReady, 1, "a-0", "a-1", "b-0")
 	u := w.push(manifest(1, 2), func() bool { return false })
 	w.run(clock.Second)
 	c.Assert(u.answer.Reason, qt.Equals, ReasonUnavailable)
@@ -225,6 +238,43 @@
 	}
 }
 
+func TestDomainThatIsTakenOut(t *testing.T) {
+	c := qt.New(t)
+	w := settled(c, 2, 1)
+	m := manifest(1, 1)
+	m.FailureDomains = m.FailureDomains[:1]
+	u := w.push(m, always)
+	w.run(4 * clock.Second)
+	c.Assert(u.answer.Outcome, qt.Equals, Accepted)
+	w.expect(c, ModeReady, 2, "a-0", "a-1")
+	w.expect(c, ModeNotReady, 2, "b-0")
+}
+
+func TestOldHistoryIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	w := settled(c, 1, 1)
+	p, ctx := w.platform(always), context.Background()
+	current, err := p.Read(ctx)
+	c.Assert(err, qt.IsNil)
+	for i := range int64(historyKept + 2) {
+		r := current
+		r.Number = 2 + i
+		r.Body.Object = fmt.Sprintf("body %d", i/2) // two generations have each body
+		c.Assert(p.putBody(ctx, r.Body, nil), qt.IsNil)
+		c.Assert(p.keepHistory(ctx, r), qt.IsNil)
+	}
+	c.Assert(p.keepHistory(ctx, current), qt.IsNil) // generation 1, whose body is in force
+	c.Assert(p.trimHistory(ctx), qt.IsNil)
+	all, err := p.history(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(all), qt.Equals, historyKept)
+	c.Assert(all[0].Number, qt.Equals, int64(4))
+	_, err = w.objects.Get(ctx, "body 0")
+	c.Assert(err, qt.ErrorIs, object.ErrAbsent)
+	_, err = p.fetch(ctx, current.Body)
+	c.Assert(err, qt.IsNil)
+}
+
 // TestAgainstNaiveReader drives hosts and pushers through random faults. After
 // each step of a host, a request on it is compared with what a naive reader of
 // the record's true history would allow; see world.serve.
--- a/internal/share/accept/holder.go
+++ b/internal/share/accept/holder.go
@@ -42,9 +42,8 @@
 	Host   string
 	Domain string
 
-	awake   *awake
-	started clock.Millis
-	state   atomic.Pointer[state]
+	awake *awake
+	state atomic.Pointer[state]
 
 	mu       sync.Mutex
 	roster   *roster
@@ -63,9 +62,9 @@
 		Host: host, Domain: domain,
 		awake: &awake{clock: c}, roster: newRoster(), bodies: map[Ref]held{}, refusals: map[Ref]string{},
 	}
-	h.started = h.now()
-	h.beatAt, h.awakeSince = h.started, h.started
-	h.state.Store(&state{knowledge: newKnowledge()})
+	now := h.now()
+	h.beatAt, h.awakeSince = now, now
+	h.state.Store(&state{knowledge: newKnowledge(now)})
 	return h
 }
 
@@ -146,9 +145,9 @@
 // that are no longer of use.
 func (h *Holder) settle(k Knowledge) {
 	old := h.state.Load()
-	next := &state{knowledge: k, current: h.bodies[k.Accepted.Body].index}
+	next := &state{knowledge: k, current: h.governs(h.bodies[k.Accepted.Body].index)}
 	staged, undecided := k.Undecided()
-	other := h.bodies[staged.Body].index
+	other := h.governs(h.bodies[staged.Body].index)
 	switch {
 	case !undecided || next.current == nil || other == nil:
 	case next.current == old.current && old.both != nil && old.knowledge.Staged == staged:
@@ -164,6 +163,16 @@
 	}
 }
 
+// governs returns the index if its manifest has this host's failure domain. The
+// hosts of a domain that a manifest leaves out serve nothing under it, since
+// later generations do not need their confirmation.
+func (h *Holder) governs(x *mfest.Index) *mfest.Index {
+	if x == nil || !x.HasDomain(h.Domain) {
+		return nil
+	}
+	return x
+}
+
 // Wanted returns the bodies that the host should fetch.
 func (h *Holder) Wanted() []Ref {
 	h.mu.Lock()
@@ -200,10 +209,11 @@
 	return nil
 }
 
-// solid tells whether the host has seen the platform's record since its start,
-// so that it can not have forgotten an acknowledgement.
+// solid tells whether the host counts towards a majority of its domain: it has
+// seen the platform's record since it was registered. Then either whoever leads
+// the domain finds it among the registrations, or it has seen the staging.
 func (h *Holder) solid() bool {
-	return h.Knowledge().PlatformAt >= h.started
+	return h.roster.listed && h.Knowledge().PlatformAt >= h.roster.listedAt
 }
 
 // age of a time on the host's clock, -1 for never.
@@ -216,6 +226,8 @@
 
 // Check answers a peer that verifies what it knows.
 func (h *Holder) Check(request CheckRequest) CheckReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	k := h.Knowledge()
 	now := h.now()
 	reply := CheckReply{
@@ -268,6 +280,14 @@
 	h.verify()
 }
 
+// Verify takes what the peers have shown so far. A host that is alone in its
+// domain needs no other.
+func (h *Holder) Verify() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.verify()
+}
+
 // verify raises the time of verification by what the peers have shown.
 func (h *Holder) verify() {
 	if h.solid() {
--- a/internal/share/keep/asker.go
+++ b/internal/share/keep/asker.go
@@ -31,10 +31,9 @@
 
 // ask places a new request.
 func (c *core) ask(now clock.Millis, r sched.Request) {
-	c.lastSeq++
 	r.Host = c.self.Name
-	a := &ask{seq: c.lastSeq, request: r, began: now, state: stateAsking}
-	c.asks[a.seq] = a
+	a := &ask{request: r, began: now, state: stateAsking}
+	c.renumber(a)
 	c.byID[r.ID] = a
 	if c.spill(now, a) {
 		c.collect(now)
@@ -106,6 +105,15 @@
 	}
 }
 
+// renumber gives a request a new number. A grant under the old one, which may
+// be on its way, is then given back and not taken for the answer to a later ask.
+func (c *core) renumber(a *ask) {
+	delete(c.asks, a.seq)
+	c.lastSeq++
+	a.seq = c.lastSeq
+	c.asks[a.seq] = a
+}
+
 // withdraw takes a waiting request back from where it waits.
 func (c *core) withdraw(now clock.Millis, a *ask) {
 	if a.state == stateAlone {
@@ -113,6 +121,7 @@
 		return
 	}
 	c.giveBack(a.keeper, a.number(), a.seq)
+	c.renumber(a)
 }
 
 func (c *core) markActive(keeper string, group groupNumber) {
@@ -131,8 +140,9 @@
 	})
 }
 
-// onVerdict takes what a keeper said. A grant that nobody waits for, or by a
-// host that is no longer the keeper to this one, is given back.
+// onVerdict takes what a keeper said. A grant or a place in the queue that
+// nobody waits for, or by a host that is no longer the keeper to this one, is
+// given back.
 func (c *core) onVerdict(now clock.Millis, from string, m verdictMessage) {
 	if m.Verdict != string(verdictNotKeeper) {
 		c.digests[m.Group] = known{digest: m.Digest, at: now}
@@ -143,7 +153,9 @@
 		return
 	}
 	if !expected || (a.state != stateAsking && a.state != stateQueued) {
-		if m.Verdict == string(verdictGrant) {
+		// An ask that was repeated while its refusal was on the way waits there
+		// for nobody.
+		if m.Verdict == string(verdictGrant) || (!expected && m.Verdict == string(verdictQueued)) {
 			c.tally("GivenBack")
 			c.giveBack(from, m.Group, m.Seq)
 		}
@@ -160,6 +172,7 @@
 		c.refused(now, a, Refusal{Reason: sched.Reason(m.Reason), RetryAfter: m.RetryAfter, Keeper: a.keeper})
 	case verdictQueued:
 		a.state, a.since = stateQueued, now
+		c.spillQueued(now, a)
 	case verdictNotKeeper:
 		c.tally("NotKeeper")
 		if a.state == stateQueued {
@@ -254,7 +267,7 @@
 			c.reassert(now, a)
 		}
 	case stateAlone:
-		if keeper, ok := c.keeperOf(a.group); ok && !c.peer(keeper).lost && now-a.since >= AskWait {
+		if keeper, ok := c.keeperOf(a.group); ok && !c.peer(keeper).lost && now-a.since >= c.waits.Ask {
 			c.move(now, a)
 		}
 	case stateRunning:
@@ -262,7 +275,7 @@
 }
 
 func (c *core) tickAsking(now clock.Millis, a *ask) {
-	if now-a.began >= AskWait {
+	if now-a.began >= c.waits.Ask {
 		c.suspect(now, a)
 		c.withdraw(now, a)
 		c.goAlone(now, a)
--- a/internal/share/keep/keep_test.go
+++ b/internal/share/keep/keep_test.go
@@ -1,6 +1,7 @@
 package keep
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -48,6 +49,7 @@
 	r.view(1, all, named(1, "", all...)...)
 	r.burst("a", 40, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[lost].crash()
 	// The membership takes a while to find out; hosts decide alone until then.
 	r.await(r.members[rest[0]], "Alone")
@@ -57,6 +59,7 @@
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
 
 	// From then on the new keeper decides for all.
+	r.patience(false)
 	r.burst("b", 30, rest...)
 	r.Assert(r.finished(120), qt.Equals, serverSlots)
 }
@@ -70,6 +73,7 @@
 	r.burst("a", 10, all...)
 	r.Assert(r.finished(30), qt.Equals, serverSlots)
 
+	r.patience(true)
 	r.members[keeper].relay.SilenceOpen()
 	r.burst("b", 1, other)
 	r.asking.Wait()
@@ -82,6 +86,7 @@
 		grant = r.answers["c-"+other+"-0"].grant
 	}
 	r.finished(1)
+	r.patience(false)
 	r.burst("d", 30, all...)
 	r.Assert(r.finished(90), qt.Equals, serverSlots)
 }
@@ -139,6 +144,7 @@
 	r.view(1, all, named(1, "", all...)...)
 	r.burst("a", 40, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[keeper].crash()
 	r.start(keeper, 2)
 	// The new process knows the others at once; they still hold the old view.
@@ -146,6 +152,7 @@
 	most := r.finished(120)
 	t.Logf("at most %d ran on a server of %d slots", most, serverSlots)
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
+	r.patience(false)
 	r.view(2, rest, append(named(1, "", rest...), named(2, "", keeper)...)...)
 	r.burst("b", 30, all...)
 	r.Assert(r.finished(120), qt.Equals, serverSlots)
@@ -176,23 +183,32 @@
 	rest := without(all, lost)
 	r.burst("a", 60, rest...)
 	r.awaitAnswers(20)
+	r.patience(true)
 	r.members[lost].crash()
 	delete(r.members, lost)
 	most := r.finished(180)
 	t.Logf("at most %d ran on a server of %d slots", most, serverSlots)
 	r.Assert(most <= 2*serverSlots, qt.IsTrue, qt.Commentf("%d", most))
 	r.awaitViews(3, rest...)
+	r.patience(false)
 	r.burst("b", 30, rest...)
 	r.Assert(r.finished(90), qt.Equals, serverSlots, qt.Commentf("%v", rest))
 }
 
 // BenchmarkKeeper measures what one request costs its keeper: the ask, the
-// grant and the end, with decoding and encoding.
+// grant and the end, with decoding and encoding, beside a number of running
+// requests of 70 hosts.
 func BenchmarkKeeper(b *testing.B) {
+	for _, running := range []int{0, 100, 300, 700, 1_400} {
+		b.Run(fmt.Sprintf("running=%d", running), func(b *testing.B) { keepRequests(b, running) })
+	}
+}
+
+func keepRequests(b *testing.B, running int) {
 	r := &rig{C: qt.New(b)}
 	n := &Node{
 		Name: "host-0", FailureDomain: "prairie-a", Services: func() []string { return []string{"canvas-llm"} },
-		Servers: testServers, Settings: testSettings, Link: &link.Node{}, Counters: count.NewSet(), Log: logs.Discard(), Clock: clock.System(),
+		Servers: manySlots, Settings: testSettings, Link: &link.Node{}, Counters: count.NewSet(), Log: logs.Discard(), Clock: clock.System(),
 	}
 	n.Prepare()
 	n.ViewChanged(hosts.NewView(1, named(1, "", "host-0")...))
@@ -210,6 +226,15 @@
 		}
 	}
 	n.core.tick(1000)
+	for i := range running {
+		beside := ask
+		beside.Seq, beside.Left = uint64(i+1), clock.Hour
+		peer := link.Peer{Name: fmt.Sprint("host-", 2+i%69), Incarnation: 1}
+		n.core.receive(1000, peer, &packet{Asks: []askMessage{beside}})
+		answers := progressMessage{Seq: beside.Seq, Tokens: 1, FirstToken: 5}
+		n.core.receive(1000, peer, &packet{Reports: []reportMessage{{Group: ask.Group, Progress: []progressMessage{answers}}}})
+	}
+	b.ResetTimer()
 	for i := range b.N {
 		now := 1000 + clock.Millis(i)
 		ask.Seq = uint64(i + 1)
@@ -218,5 +243,14 @@
 			Group: ask.Group, Outcome: string(sched.OutcomeDone), Progress: progressMessage{Seq: ask.Seq, Tokens: 10, FirstToken: 5},
 		}}})
 	}
-	r.Assert(n.core.desks[ask.Group].held, qt.HasLen, 0)
+	r.Assert(n.core.desks[ask.Group].held, qt.HasLen, running)
+}
+
+// manySlots are the servers of a group with room for every request.
+func manySlots(service, domain string) []sched.Server {
+	all := testServers(service, domain)
+	for i := range all {
+		all[i].Slots = 1_000
+	}
+	return all
 }
--- a/internal/share/mfest/mfest.go
+++ b/internal/share/mfest/mfest.go
@@ -26,6 +26,10 @@
 import "siskinsaddle/internal/base/clock"
 
 // Manifest is a whole declaration. Treat it as immutable.
+//
+// Hosts refuse a body with a field that they do not know. A field that is added
+// later therefore has omitempty, so that older hosts take manifests that do not
+// use it.
 type Manifest struct {
 	// Base is the accepted generation that the file was written against, 0
 	// before the first.
@@ -82,6 +86,17 @@
 	LongShare  float64 `json:",omitempty"`
 }
 
+// Offered names the service's models and their adapters, which requests name in
+// the same way.
+func (s Service) Offered() []string {
+	var names []string
+	for _, m := range s.Models {
+		names = append(names, m.Name)
+		names = append(names, m.Adapters...)
+	}
+	return names
+}
+
 // Model is a model in one version with its adapters.
 type Model struct {
 	Name     string
