The slopes' benchmark follows the waits of a keeper

Cause: the merge of the links' waits removed the constant that it used, so the package's tests did not build. Conclusion: builds again (go vet ./internal/share/keep).

--- a/internal/share/keep/slope_test.go
+++ b/internal/share/keep/slope_test.go
@@ -97,7 +97,7 @@
 				now += serversWait
 				c.tick(now)
 			}
-			now += rebuildWait
+			now += c.waits.Rebuild
 			c.tick(now)
 			c.answer(now)
 			number := sortedKeys(c.desks)[0]
