--- a/internal/tools/loads/loads.go
+++ b/internal/tools/loads/loads.go
@@ -50,6 +50,9 @@
 	// the same key.
 	BookingsPerSecond float64
 	Repeats           int
+	// AbandonEvery lets each so many-th caller leave in the middle of its
+	// stream, 0 for none.
+	AbandonEvery int
 }
 
 // Class is the load of one class.
@@ -104,6 +107,7 @@
 		{"BookingsPerSecond", s.BookingsPerSecond < 0 || s.BookingsPerSecond > maxPerSecond},
 		{"DirectEvery", s.DirectEvery < 1},
 		{"Repeats", s.Repeats < 1 || s.Repeats > maxRepeats},
+		{"AbandonEvery", s.AbandonEvery < 0},
 		{"Classes", rate(s.Classes) > maxPerSecond},
 	} {
 		if bound.wrong {
--- a/internal/tools/loads/notes.go
+++ b/internal/tools/loads/notes.go
@@ -26,11 +26,17 @@
 	directs  *hdrhistogram.Histogram
 	bookings map[string]*bookingNotes
 	dropped  int
+	// cuts and silences count the streams and requests that ended without a
+	// word, by the host's address.
+	cuts     map[string]int
+	silences map[string]int
 }
 
 type classNotes struct {
 	sent     int
 	whole    int
+	wrong    int
+	left     int
 	inTime   int
 	first    *hdrhistogram.Histogram
 	between  *hdrhistogram.Histogram
@@ -54,6 +60,8 @@
 		classes:  map[string]*classNotes{},
 		directs:  newHistogram(),
 		bookings: map[string]*bookingNotes{},
+		cuts:     map[string]int{},
+		silences: map[string]int{},
 	}
 	for _, c := range classes {
 		n.order = append(n.order, c.Name)
@@ -68,6 +76,18 @@
 	n.dropped++
 }
 
+func (n *notes) cutOff(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[host]++
+}
+
+func (n *notes) unanswered(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silences[host]++
+}
+
 func (n *notes) refused(class string, t told) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -83,8 +103,15 @@
 	defer n.mu.Unlock()
 	k := n.classes[c.Name]
 	k.sent++
+	if h.wrong {
+		k.wrong++
+	}
+	if h.abandoned {
+		k.left++
+		return
+	}
 	if !h.whole {
-		k.refusals["BrokenOff"]++
+		k.refusals[reasonBrokenOff+h.reason]++
 		return
 	}
 	k.whole++
@@ -169,7 +196,7 @@
 func (n *notes) report(s Settings) Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	report := Report{Dropped: n.dropped}
+	report := Report{Dropped: n.dropped, CutOff: n.cuts, NoAnswer: n.silences}
 	names := append([]string(nil), n.order...)
 	sort.Strings(names)
 	for _, name := range names {
@@ -188,6 +215,8 @@
 		Name:             name,
 		Sent:             k.sent,
 		Whole:            k.whole,
+		Wrong:            k.wrong,
+		Abandoned:        k.left,
 		InTime:           k.inTime,
 		GoodputPerSecond: float64(k.inTime) / seconds,
 		FirstTokenP50:    k.first.ValueAtQuantile(50),
--- a/internal/tools/loads/report.go
+++ b/internal/tools/loads/report.go
@@ -21,7 +21,11 @@
 	Classes []ClassReport
 	// Dropped counts requests that were not sent because MaxOpen were under
 	// way.
-	Dropped             int
+	Dropped int
+	// CutOff counts streams, and NoAnswer requests, whose connection ended
+	// without a word, by the host's address.
+	CutOff              map[string]int
+	NoAnswer            map[string]int
 	DirectFirstTokenP50 int64
 	DirectFirstTokenP99 int64
 	Bookings            Bookings
@@ -30,9 +34,14 @@
 
 // ClassReport is the report of one class.
 type ClassReport struct {
-	Name             string
-	Sent             int
-	Whole            int
+	Name  string
+	Sent  int
+	Whole int
+	// Wrong counts streams with another text than the backend server's, and
+	// those whose end was told too early.
+	Wrong int
+	// Abandoned counts the streams that their callers left.
+	Abandoned        int
 	InTime           int
 	Attainment       float64
 	GoodputPerSecond float64
@@ -65,23 +74,33 @@
 // Print writes the report as a table.
 func Print(w io.Writer, r Report) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%-12s %7s %7s %7s %9s %9s %6s %6s %6s %8s  %s\n",
-		"class", "sent", "whole", "in time", "attained", "goodput/s", "p50", "p95", "p99", "between", "refusals")
+	fmt.Fprintf(&b, "%-12s %7s %7s %5s %7s %9s %9s %6s %6s %6s %8s  %s\n",
+		"class", "sent", "whole", "wrong", "in time", "attained", "goodput/s", "p50", "p95", "p99", "between", "refusals")
 	for _, c := range r.Classes {
-		fmt.Fprintf(&b, "%-12s %7d %7d %7d %9.3f %9.1f %6d %6d %6d %8.1f  %v\n",
-			c.Name, c.Sent, c.Whole, c.InTime, c.Attainment, c.GoodputPerSecond,
+		fmt.Fprintf(&b, "%-12s %7d %7d %5d %7d %9.3f %9.1f %6d %6d %6d %8.1f  %v\n",
+			c.Name, c.Sent, c.Whole, c.Wrong, c.InTime, c.Attainment, c.GoodputPerSecond,
 			c.FirstTokenP50, c.FirstTokenP95, c.FirstTokenP99, c.BetweenTokensP95, c.Refusals)
 	}
 	fmt.Fprintf(&b, "direct: first token p50 %d ms, p99 %d ms\n", r.DirectFirstTokenP50, r.DirectFirstTokenP99)
 	k := r.Bookings
 	fmt.Fprintf(&b, "bookings: asked %d, ran once %d, ran twice %d, told done %d (not run %d), told not run %d (ran %d), refusals %v\n",
 		k.Asked, k.RanOnce, k.RanTwice, k.ToldDone, k.ToldDoneNotRun, k.ToldNotRun, k.ToldNotRunButRan, k.Refusals)
+	fmt.Fprintf(&b, "ended without a word, by host: streams %v, requests %v\n", r.CutOff, r.NoAnswer)
 	fmt.Fprintf(&b, "router: %d ms of processor time, %.2f ms a request, heap %d bytes; not sent %d\n",
 		r.Router.ProcessorMilliseconds, r.Router.ProcessorMillisecondsPerRequest, r.Router.HeapBytes, r.Dropped)
 	_, err := b.WriteTo(w)
 	return err
 }
 
+// Wrong counts the streams with a wrong text, of all classes.
+func (r Report) Wrong() int {
+	sum := 0
+	for _, c := range r.Classes {
+		sum += c.Wrong
+	}
+	return sum
+}
+
 // use is what the hosts' gauges say at one moment.
 type use struct {
 	processor int64
--- a/internal/tools/verbs/load.go
+++ b/internal/tools/verbs/load.go
@@ -18,7 +18,8 @@
 		Short: "Puts a bounded load on running hosts and reports what callers saw",
 		Long: `Puts a bounded load on running hosts over real sockets. Settings are JSON with
 comments; without a file the load fits serve --embedded. It exits with 1 where
-a booking ran twice or ran although its caller was told "not run".`,
+a booking ran twice or ran although its caller was told "not run", or where a
+stream brought another text than the stand-ins give for its prompt.`,
 		Example: `  siskinsaddle load
   siskinsaddle load --settings load.hujson --report out/load.json`,
 		Args: noArgs,
@@ -58,6 +59,9 @@
 	if r.Bookings.RanTwice > 0 || r.Bookings.ToldNotRunButRan > 0 {
 		return errors.Newf("%d bookings ran twice, %d ran although told not run", r.Bookings.RanTwice, r.Bookings.ToldNotRunButRan)
 	}
+	if wrong := r.Wrong(); wrong > 0 {
+		return errors.Newf("%d streams brought a wrong text", wrong)
+	}
 	return nil
 }
 
