--- a/docs/check.sh
+++ b/docs/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs every block marked "sh run" of the README and of docs/ against a host
+# Runs every block marked "sh run" of the README, docs/ and bench/ against a host
 # with the embedded defaults, in a folder of its own. Any command that fails
 # ends it.
 set -euo pipefail
@@ -33,7 +33,7 @@
 }
 
 export PATH="$work:$PATH"
-for page in README.md docs/*.md docs/design/*.md; do
+for page in README.md docs/*.md docs/design/*.md bench/README.md; do
   blocks "$page" >"$work/page.sh"
   [ -s "$work/page.sh" ] || continue
   mkdir -p "$work/run"
--- /dev/null
+++ b/internal/base/chart/chart_test.go
@@ -0,0 +1,50 @@
+package chart_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/chart"
+)
+
+const door = `{
+  "Name": "Door",
+  "Initial": "Shut",
+  "States": {
+    "Shut": {"On": {"Push": {"To": "Open", "Do": ["RingBell"]}}},
+    "Open": {"Final": true}, // nothing follows
+  },
+}`
+
+// An event moves the chart as its file says, and one that the state does not
+// name leaves it where it is.
+func TestStep(t *testing.T) {
+	c := qt.New(t)
+	d, err := chart.Parse("door", []byte(door))
+	c.Assert(err, qt.IsNil)
+	move, err := d.Step(d.Initial, "Push")
+	c.Assert(err, qt.IsNil)
+	c.Assert(move, qt.DeepEquals, chart.Move{To: "Open", Do: []chart.Action{"RingBell"}})
+	c.Assert([]bool{d.Final("Shut"), d.Final("Open")}, qt.DeepEquals, []bool{false, true})
+	move, err = d.Step("Open", "Push")
+	c.Assert(err, qt.ErrorMatches, `chart Door: state "Open" does not take event "Push"`)
+	c.Assert(move.To, qt.Equals, chart.State("Open"))
+	_, err = d.Step("Ajar", "Push")
+	c.Assert(err, qt.ErrorMatches, `chart Door has no state "Ajar"`)
+}
+
+// A chart that cannot be followed to its end is not taken.
+func TestParseRefuses(t *testing.T) {
+	c := qt.New(t)
+	for text, want := range map[string]string{
+		`{`:                   `chart door: .*`,
+		`{"Initial": 1}`:      `chart door: .*`,
+		`{"Initial": "Shut"}`: `chart door: initial state "Shut" does not exist`,
+		`{"Initial": "A", "States": {"A": {"Final": true, "On": {"E": {"To": "A"}}}}}`: `chart door: final state "A" has events`,
+		`{"Initial": "A", "States": {"A": {"On": {"E": {"To": "B"}}}}}`:                `chart door: state "A" on "E" goes to "B", which does not exist`,
+	} {
+		_, err := chart.Parse("door", []byte(text))
+		c.Check(err, qt.ErrorMatches, want)
+	}
+}
--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -75,6 +75,8 @@
 	Send func(ctx context.Context, r wire.Request) (wire.Answer, wire.Sent, error)
 	// MayRetry decides on one more attempt of a repeatable call.
 	MayRetry func(f relay.Failure) bool
+	// Finished is told of each answer, as in relay.Relay.
+	Finished func(r sched.Request)
 	// Keyed runs a call under its key: it claims, calls send at the most once
 	// and records the outcome.
 	Keyed func(ctx context.Context, c Call, send SendOnce) (Answer, *refuse.Refusal)
@@ -114,6 +116,7 @@
 			return Answer{}, refusal.AfterSending(maybeRan)
 		}
 		if tried.Err == nil {
+			c.Finished(call.Request)
 			return answer, nil
 		}
 		maybeRan = maybeRan || tried.Sent != wire.SentNothing
--- a/internal/serve/calls/calls_test.go
+++ b/internal/serve/calls/calls_test.go
@@ -45,6 +45,7 @@
 type rig struct {
 	calls    *calls.Calls
 	asked    int
+	finished int
 	sent     []wire.Request
 	outcomes []sched.Outcome
 }
@@ -72,6 +73,7 @@
 		MayRetry: func(f relay.Failure) bool {
 			return f.Attempt < maxAttempts && (f.Repeatable || f.Sent == wire.SentNothing)
 		},
+		Finished: func(sched.Request) { g.finished++ },
 		Keyed: func(ctx context.Context, c calls.Call, send calls.SendOnce) (calls.Answer, *refuse.Refusal) {
 			tried := send(ctx, c.Method, c.Path, 7)
 			if tried.Err != nil {
@@ -140,6 +142,7 @@
 				c.Assert(refusal, qt.IsNil)
 				c.Assert(string(answer.Body), qt.Equals, "done")
 				c.Assert(g.outcomes[a.sent-1], qt.Equals, sched.OutcomeDone)
+				c.Assert(g.finished, qt.Equals, 1, qt.Commentf("answers pay for retries"))
 				return
 			}
 			c.Assert(refusal.Reason, qt.Equals, a.reason)
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -243,6 +243,7 @@
 		Done:           h.done,
 		Send:           h.client.Do,
 		MayRetry:       h.tries.mayRetry,
+		Finished:       h.tries.finished,
 		Keyed:          h.keyed,
 		FirstTimeout:   h.Settings.Backend.FirstTimeoutMilliseconds,
 		MaxAnswerBytes: h.Settings.Backend.MaxAnswerBytes,
