Membership without a platform's list removes what is long dead

Cause: a node without a list, as tests have, was dereferenced where stale registrations are removed; go test ./internal/share/keep panicked. After: internal/share/hosts and internal/share/keep pass. Conclusion: the list is optional for membership, as its other reader treats it.

--- a/internal/share/hosts/register.go
+++ b/internal/share/hosts/register.go
@@ -166,9 +166,13 @@
 	if cleaner, ok := Winner(registrationKind(domain), n.View().Duty(domain)); !ok || cleaner.Name != n.Self.Name {
 		return
 	}
-	listed, err := n.List.Read(ctx)
-	if err != nil {
-		return
+	var listed []roll.Entry
+	if n.List.Read != nil {
+		entries, err := n.List.Read(ctx)
+		if err != nil {
+			return
+		}
+		listed = entries
 	}
 	for _, r := range all {
 		if !n.isStale(r.host.Name) || names(listed, r.host.Name) {
