--- a/internal/policy/audit/audit.go
+++ b/internal/policy/audit/audit.go
@@ -275,7 +275,8 @@
 // its server was lost, was no service.
 func (a *Auditor) Release(_ clock.Millis, d sched.Done) {
 	q := a.running[d.ID]
-	lost := d.Outcome == sched.OutcomeFailed || d.Outcome == sched.OutcomeSilent
+	lost := d.Outcome == sched.OutcomeFailed || d.Outcome == sched.OutcomeSilent ||
+		d.Outcome == sched.OutcomeUnreachable
 	if q != nil && lost && d.Tokens == 0 && q.class.unserved == q.granted {
 		q.class.unserved = q.unserved
 	}
--- a/internal/policy/sched/differ_test.go
+++ b/internal/policy/sched/differ_test.go
@@ -115,11 +115,11 @@
 		return
 	}
 	at := rapid.IntRange(0, len(tr.open)-1).Draw(t, "open")
-	how := rapid.SampledFrom([]sched.Outcome{sched.OutcomeDone, sched.OutcomeDone, sched.OutcomeFailed}).Draw(t, "how")
+	how := rapid.SampledFrom([]sched.Outcome{sched.OutcomeDone, sched.OutcomeDone, sched.OutcomeFailed, sched.OutcomeUnreachable}).Draw(t, "how")
 	d := sched.Done{Progress: sched.Progress{ID: tr.open[at]}, Outcome: how}
 	tr.open = slices.Delete(tr.open, at, at+1)
 	tr.group.Release(tr.now, d)
-	tr.naive.release(tr.now, d.ID, how == sched.OutcomeFailed)
+	tr.naive.release(tr.now, d.ID, how != sched.OutcomeDone)
 	tr.audit.Release(tr.now, d)
 }
 
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -128,7 +128,9 @@
 )
 
 // lost tells that the server or the connection failed.
-func (o Outcome) lost() bool { return o == OutcomeFailed || o == OutcomeSilent }
+func (o Outcome) lost() bool {
+	return o == OutcomeFailed || o == OutcomeSilent || o == OutcomeUnreachable
+}
 
 // Progress is what the entry host has seen of a running request so far.
 type Progress struct {
