--- a/internal/share/keep/report.go
+++ b/internal/share/keep/report.go
@@ -29,7 +29,7 @@
 }
 
 // setPace sets how often each keeper is reported to: ReportEvery while
-// something waits there or it is lost. Otherwise the reports of all hosts of
+// something waits there, a first token is news, or it is lost. Otherwise the reports of all hosts of
 // the domain together are the same number a second however many hosts there
 // are, since that is what the keeper learns from.
 func (c *core) setPace() {
@@ -41,7 +41,8 @@
 		}
 	}
 	for _, a := range c.asks {
-		if a.state == stateAsking || a.state == stateQueued {
+		waits := a.state == stateAsking || a.state == stateQueued
+		if waits || a.firstIsNews() {
 			c.peer(a.keeper).pace = ReportEvery
 		}
 	}
@@ -96,11 +97,18 @@
 	if a.progress.Tokens == 0 && a.progress.FirstToken < 0 {
 		return false
 	}
-	return a.progress.FirstToken >= 0 && !a.reported.first ||
+	return a.firstIsNews() ||
 		a.progress.Tokens >= 2*max(1, a.reported.tokens) ||
 		now-a.reported.at >= wait
 }
 
+// firstIsNews tells whether the keeper has not heard of the first token. It
+// judges servers by the time to it, and must not take the wait for a report for
+// the server's.
+func (a *ask) firstIsNews() bool {
+	return a.state == stateRunning && a.progress.FirstToken >= 0 && !a.reported.first
+}
+
 // seqHash spreads a number, so that sums of few differ.
 func seqHash(seq uint64) uint64 {
 	x := seq * 0x9e3779b97f4a7c15
--- a/internal/tools/cohere/cohere.go
+++ b/internal/tools/cohere/cohere.go
@@ -74,6 +74,7 @@
 	flight      = 20 * time.Millisecond // a wait that no message explains
 	sampleEvery = 5 * time.Millisecond
 	tierCount   = 3
+	firstToken  = 10 * clock.Millis(1) // of every request
 	learnWait   = 1600 * time.Millisecond
 )
 
@@ -189,10 +190,18 @@
 		return
 	}
 	d.book.granted(number, a, grant, time.Since(asked))
+	last := sched.Progress{ID: id, Tokens: 1, FirstToken: firstToken}
+	d.hold(ctx, firstToken.Duration())
+	n.Progress(last)
+	d.hold(ctx, a.hold-firstToken.Duration())
+	d.book.ended(grant.Server)
+	n.Done(sched.Done{Progress: last, Outcome: sched.OutcomeDone})
+}
+
+// hold lets a request run, unless its host goes.
+func (d *domain) hold(ctx context.Context, duration time.Duration) {
 	select {
-	case <-time.After(a.hold):
+	case <-time.After(duration):
 	case <-ctx.Done():
 	}
-	d.book.ended(grant.Server)
-	n.Done(sched.Done{Progress: sched.Progress{ID: id, Tokens: 1, FirstToken: 1}, Outcome: sched.OutcomeDone})
 }
