Groups are split once for each look at the list of servers

Cause: each ask, each digest of a beat and each tick sorted and split the servers of the domain anew.

--- a/internal/share/keep/core.go
+++ b/internal/share/keep/core.go
@@ -127,6 +127,9 @@
 	at     clock.Millis
 }
 
+// place is a service in a failure domain.
+type place struct{ service, domain string }
+
 // core decides for one host, as asker and as keeper. It reads no clock and
 // touches no network.
 type core struct {
@@ -141,6 +144,9 @@
 	// hosts of the own domain it has: both are asked for on every tick.
 	keepers map[string]string
 	mates   int
+	// split holds the groups of a service in a failure domain until the next
+	// look at the list of servers.
+	split   map[place][]group
 	asks    map[uint64]*ask
 	byID    map[string]*ask
 	lastSeq uint64
@@ -162,7 +168,7 @@
 	return &core{
 		self: self, domain: domain, groupSize: groupSize, waits: DefaultWaits(), seams: s,
 		asks: map[uint64]*ask{}, byID: map[string]*ask{}, peers: map[string]*peerState{},
-		alone: map[string]*decider{}, keepers: map[string]string{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
+		alone: map[string]*decider{}, keepers: map[string]string{}, split: map[place][]group{}, digests: map[groupNumber]known{}, spillBy: map[string]*spill.Policy{},
 		desks: map[groupNumber]*desk{}, callers: map[string]clock.Millis{}, out: map[string]*packet{},
 		tally: func(string) {},
 	}
@@ -221,11 +227,16 @@
 }
 
 func (c *core) groups(service, domain string) []group {
+	at := place{service: service, domain: domain}
+	if known, ok := c.split[at]; ok {
+		return known
+	}
 	size := c.groupSize
 	if size < 1 {
 		size = GroupSize
 	}
-	return split(service, domain, size, c.seams.servers(service, domain))
+	c.split[at] = split(service, domain, size, c.seams.servers(service, domain))
+	return c.split[at]
 }
 
 func (c *core) groupNamed(name string) (group, bool) {
--- a/internal/share/keep/core_test.go
+++ b/internal/share/keep/core_test.go
@@ -209,3 +209,29 @@
 	}
 	c.Check(len(moved) > 4, qt.IsTrue)
 }
+
+// A change in the list of servers is followed with the next look at it.
+func TestGroupsFollowTheServers(t *testing.T) {
+	c := qt.New(t)
+	var servers []sched.Server
+	core := newCore(link.Peer{Name: "host-0", Incarnation: 1}, "prairie-a", GroupSize, seams{
+		services: func() []string { return []string{"canvas-llm"} },
+		servers:  func(string, string) []sched.Server { return servers },
+		settings: testSettings,
+	})
+	now := clock.Millis(1000)
+	core.setView(now, hosts.NewView(1, named(1, "", "host-0")...))
+	for _, count := range []int{0, 3, 20, 5} {
+		servers = make([]sched.Server, count)
+		for i := range servers {
+			servers[i].Name = fmt.Sprint("llm-", i)
+		}
+		now += serversWait
+		core.tick(now)
+		found := 0
+		for _, g := range core.groups("canvas-llm", "prairie-a") {
+			found += len(g.Servers)
+		}
+		c.Check(found, qt.Equals, count)
+	}
+}
--- a/internal/share/keep/desk.go
+++ b/internal/share/keep/desk.go
@@ -176,6 +176,7 @@
 func (c *core) tickDesks(now clock.Millis) {
 	if now-c.looked >= serversWait {
 		c.looked = now
+		clear(c.split)
 		c.reviewDesks(now)
 		c.refreshDesks(now)
 		c.regroup()
