Denied retries and hedges are counted by reason and class

Cause: a request refused with BackendFailed did not say whether the rule, the number of attempts, the deadline or the budget ended it. A reason that a keeper of another version sends became a refusal with status 0.

--- a/internal/serve/hostd/groups.go
+++ b/internal/serve/hostd/groups.go
@@ -107,13 +107,29 @@
 	return c.Close()
 }
 
+// grantReasons gives the reasons of keepers their refusals. Any other, which a
+// host of another version may send, is a NoServer.
+var grantReasons = map[sched.Reason]refuse.Reason{
+	sched.ReasonShed:     refuse.ReasonShed,
+	sched.ReasonExpired:  refuse.ReasonExpired,
+	sched.ReasonNoServer: refuse.ReasonNoServer,
+}
+
+func grantRefusal(r sched.Reason) *refuse.Refusal {
+	reason, ok := grantReasons[r]
+	if !ok {
+		return refuse.New(refuse.ReasonNoServer).WithText("no grant: %s", r)
+	}
+	return refuse.New(reason)
+}
+
 // ask waits for a grant.
 func (h *Host) ask(ctx context.Context, r sched.Request) (relay.Grant, *refuse.Refusal) {
 	r.Host = h.Settings.HostName
 	grant, refusal, err := h.keeper.Ask(ctx, r)
 	switch {
 	case refusal != nil:
-		return relay.Grant{}, refuse.New(refuse.Reason(refusal.Reason)).WithRetryAfter(refusal.RetryAfter)
+		return relay.Grant{}, grantRefusal(refusal.Reason).WithRetryAfter(refusal.RetryAfter)
 	case err != nil && errors.Is(err, ctx.Err()):
 		return relay.Grant{}, refuse.New(refuse.ReasonCallerGone).WithRan(refuse.RanNo)
 	case err != nil:
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -90,7 +90,7 @@
 		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
 	}
-	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts)
+	h.tries = newTries(h.Clock, h.Count, h.Settings.Backend.MaxAttempts)
 	h.governed = &governed{changed: h.tries.govern}
 	h.machines = &machines{
 		read:   h.List,
--- a/internal/serve/hostd/tries.go
+++ b/internal/serve/hostd/tries.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/sched"
 	"siskinsaddle/internal/serve/relay"
@@ -20,6 +21,7 @@
 // tries holds the host's budgets for retries and hedges.
 type tries struct {
 	clock       clock.Clock
+	count       *count.Set
 	maxAttempts int
 	mu          sync.Mutex
 	budget      *retry.Budget
@@ -27,8 +29,8 @@
 	hedges map[string]*retry.Hedge
 }
 
-func newTries(c clock.Clock, maxAttempts int) *tries {
-	return &tries{clock: c, maxAttempts: maxAttempts, budget: retry.NewBudget(0, savedRetries)}
+func newTries(c clock.Clock, s *count.Set, maxAttempts int) *tries {
+	return &tries{clock: c, count: s, maxAttempts: maxAttempts, budget: retry.NewBudget(0, savedRetries)}
 }
 
 // govern puts the manifest's shares in force.
@@ -56,10 +58,33 @@
 	wire.SentAll:     retry.SentWhole,
 }
 
-// mayRetry decides on one more attempt. A request of which nothing was sent,
-// and a stream that is resumed, put no work on the servers twice, so only a
-// restart is paid from the budget.
+// denial is why a failed attempt is not followed by another, empty where it is.
+type denial string
+
+const (
+	// deniedByRule: the request may have run, or the answer cannot go on.
+	deniedByRule     denial = "Rule"
+	deniedByAttempts denial = "Attempts"
+	deniedByDeadline denial = "Deadline"
+	deniedByBudget   denial = "Budget"
+)
+
+// mayRetry decides on one more attempt and counts the reason against it.
 func (t *tries) mayRetry(f relay.Failure) bool {
+	why := t.deny(f)
+	if why == "" {
+		return true
+	}
+	t.count.Add("siskinsaddle_retries_denied_total", 1,
+		count.Label{Key: "reason", Value: string(why)},
+		count.Label{Key: "class", Value: f.Class})
+	return false
+}
+
+// deny looks for a reason against one more attempt. A request of which nothing
+// was sent, and a stream that is resumed, put no work on the servers twice, so
+// only a restart is paid from the budget.
+func (t *tries) deny(f relay.Failure) denial {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rule := retry.Decide(retry.Facts{
@@ -69,16 +94,18 @@
 		Resumable: f.Cause != relay.CauseNoResume,
 	})
 	switch {
-	case !rule.Action.Sends() || f.Attempt >= t.maxAttempts:
-		return false
+	case !rule.Action.Sends():
+		return deniedByRule
+	case f.Attempt >= t.maxAttempts:
+		return deniedByAttempts
 	case f.Delivered > 0:
-		return true
+		return ""
 	case !retry.InTime(t.clock.Now(), 0, f.GiveUp):
-		return false
-	case f.Sent == wire.SentNothing:
-		return true
+		return deniedByDeadline
+	case f.Sent == wire.SentNothing || t.budget.Take():
+		return ""
 	}
-	return t.budget.Take()
+	return deniedByBudget
 }
 
 func (t *tries) hedgeAfter(r sched.Request) clock.Millis {
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -237,7 +237,11 @@
 
 // tryHedge starts a second attempt where the first has brought nothing yet.
 func (s *Stream) tryHedge() {
-	if s.winner >= 0 || len(s.live) != 1 || !s.relay.MayHedge(s.job.Request, s.granted) {
+	if s.winner >= 0 || len(s.live) != 1 {
+		return
+	}
+	if !s.relay.MayHedge(s.job.Request, s.granted) {
+		s.count("siskinsaddle_hedges_total", "Denied")
 		return
 	}
 	s.count("siskinsaddle_hedges_total", "Sent")
