A server that lacks a model, or is busy, is left for another

Cause: an engine's 404 for a model that it has just unloaded, and its 429, went to the caller as its own error, although the manifest offers the model and other servers have it. Tests: two cases of the relay, which get the whole answer from the next server. Conclusion: 404 is the cause ModelNotLoaded and says nothing of the server's health; 429 is a ServerError. Other 4xx stay the caller's own.

--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -117,6 +117,7 @@
 	CauseUnreachable: sched.OutcomeUnreachable,
 	CauseLeaving:     sched.OutcomeUnreachable,
 	CauseSilent:      sched.OutcomeSilent,
+	CauseNotLoaded:   sched.OutcomeCancelled,
 }
 
 // OutcomeOf is what the scheduler is told of a failure.
@@ -186,6 +187,12 @@
 	return CauseBroken
 }
 
+// The statuses of a backend server that are not the caller's doing.
+const (
+	statusNotFound = 404
+	statusTooMany  = 429
+)
+
 // checkAnswer finds the answers that are not the stream that was asked for.
 func (a *attempt) checkAnswer(answer wire.Answer) (note, bool) {
 	id := answer.Header(HeaderRequestID)
@@ -197,6 +204,11 @@
 		return note{kind: noteFailed, cause: CauseLeaving}, false
 	case answer.Status >= 500:
 		return note{kind: noteFailed, cause: CauseServerError}, false
+	case answer.Status == statusNotFound:
+		// The manifest offers the model, so it is this server that lacks it.
+		return note{kind: noteFailed, cause: CauseNotLoaded}, false
+	case answer.Status == statusTooMany:
+		return note{kind: noteFailed, cause: CauseServerError}, false
 	case answer.Status >= 400:
 		return a.readFinal(answer), false
 	case !named:
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -73,6 +73,7 @@
 	CauseSilent      Cause = "Silent"
 	CauseCrossed     Cause = "CrossedAnswer"
 	CauseNoResume    Cause = "NoResume"
+	CauseNotLoaded   Cause = "ModelNotLoaded"
 )
 
 // Failure is a failed attempt, for the decision on the next one.
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -168,7 +168,7 @@
 	},
 	{
 		"error after a token",
-		[]server{says(broken, "a"), status(404), says(whole, "b")},
+		[]server{says(broken, "a"), status(400), says(whole, "b")},
 		"ab", "", "", resumes, relay.CauseServerError,
 	},
 	{"unreachable", []server{fails(wire.SentNothing, wire.ErrDial), says(whole, "a")}, "a", "", "", retries, relay.CauseUnreachable},
@@ -178,6 +178,8 @@
 		[]server{status(503, wire.Header{Name: relay.HeaderLeaving, Value: "true"}), says(whole, "a")},
 		"a", "", "", retries, relay.CauseLeaving,
 	},
+	{"model is not loaded", []server{status(404), says(whole, "a")}, "a", "", "", retries, relay.CauseNotLoaded},
+	{"server is busy", []server{status(429), says(whole, "a")}, "a", "", "", retries, relay.CauseServerError},
 	{"answer of another request", []server{nameless(says(whole, "x"), "r0"), says(whole, "a")}, "a", "", "", retries, relay.CauseCrossed},
 	{"answer of no request", []server{nameless(says(whole, "x"), ""), says(whole, "a")}, "a", "", "", retries, relay.CauseCrossed},
 	{
