--- a/internal/share/hosts/register.go
+++ b/internal/share/hosts/register.go
@@ -166,6 +166,9 @@
 	if cleaner, ok := Winner(registrationKind(domain), n.View().Duty(domain)); !ok || cleaner.Name != n.Self.Name {
 		return
 	}
+	if n.List.Read == nil {
+		return
+	}
 	listed, err := n.List.Read(ctx)
 	if err != nil {
 		return
