--- a/internal/share/accept/watch.go
+++ b/internal/share/accept/watch.go
@@ -41,14 +41,14 @@
 	Log      *log.Logger
 	Counters *count.Set
 
-	mu         sync.Mutex
-	polledAt   clock.Millis
-	checkedAt  clock.Millis
-	rosterAt   clock.Millis
-	helloAt    clock.Millis
-	askAll     bool
-	hinted     bool
-	begun      bool
+	mu        sync.Mutex
+	polledAt  clock.Millis
+	checkedAt clock.Millis
+	rosterAt  clock.Millis
+	helloAt   clock.Millis
+	askAll    bool
+	hinted    bool
+	begun     bool
 	// warned is when the last failure of each kind was logged.
 	warned map[string]clock.Millis
 }
