--- a/internal/policy/audit/audit.go
+++ b/internal/policy/audit/audit.go
@@ -275,8 +275,7 @@
 // its server was lost, was no service.
 func (a *Auditor) Release(_ clock.Millis, d sched.Done) {
 	q := a.running[d.ID]
-	lost := d.Outcome == sched.OutcomeFailed || d.Outcome == sched.OutcomeSilent
-	if q != nil && lost && d.Tokens == 0 && q.class.unserved == q.granted {
+	if q != nil && d.Outcome.Lost() && d.Tokens == 0 && q.class.unserved == q.granted {
 		q.class.unserved = q.unserved
 	}
 	a.stop(d.ID)
--- a/internal/policy/sched/dispatch.go
+++ b/internal/policy/sched/dispatch.go
@@ -110,7 +110,7 @@
 		r.server.spilled--
 	}
 	c := g.class(r.Request)
-	if d.Outcome.lost() {
+	if d.Outcome.Lost() {
 		c.unserve(r, d)
 		return
 	}
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -184,21 +184,23 @@
 	g.Release(now, Done{Progress: Progress{ID: id}, Outcome: OutcomeCancelled})
 }
 
-// DropHost cancels all requests of an entry host that was lost.
+// DropHost cancels all requests of an entry host that was lost. Waiting ones go
+// first, so that none of them is granted a slot that comes free.
 func (g *Group) DropHost(now clock.Millis, host string) {
-	var lost []string
+	var waiting, running []string
 	for id, e := range g.waiting {
 		if e.Host == host {
-			lost = append(lost, id)
+			waiting = append(waiting, id)
 		}
 	}
 	for id, r := range g.running {
 		if r.Host == host {
-			lost = append(lost, id)
+			running = append(running, id)
 		}
 	}
-	slices.Sort(lost)
-	for _, id := range lost {
+	slices.Sort(waiting)
+	slices.Sort(running)
+	for _, id := range append(waiting, running...) {
 		g.Cancel(now, id)
 	}
 }
--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -127,8 +127,10 @@
 	OutcomeSilent      Outcome = "Silent"
 )
 
-// lost tells that the server or the connection failed.
-func (o Outcome) lost() bool { return o == OutcomeFailed || o == OutcomeSilent }
+// Lost tells that the server or the connection to it failed.
+func (o Outcome) Lost() bool {
+	return o == OutcomeFailed || o == OutcomeSilent || o == OutcomeUnreachable
+}
 
 // Progress is what the entry host has seen of a running request so far.
 type Progress struct {
