--- a/internal/policy/sched/types.go
+++ b/internal/policy/sched/types.go
@@ -127,8 +127,8 @@
 	OutcomeSilent      Outcome = "Silent"
 )
 
-// lost tells that the server or the connection failed.
-func (o Outcome) lost() bool {
+// Lost tells that the server or the connection to it failed.
+func (o Outcome) Lost() bool {
 	return o == OutcomeFailed || o == OutcomeSilent || o == OutcomeUnreachable
 }
 
