A failure domain without servers of a service spills

Cause: a request at a host whose domain has no server of its service was refused NoServer though another domain was idle. Three causes, found one after another by TestDomainWithoutServersSpills: - the bound on spilled work is a share of the own slots, which are none; it is that share of the other domain's now; - a domain said that it had no free slots while nobody had asked for one there lately: hosts learnt their domain's load only from answers to their own asks. The keeper now says what it knows itself, and who knows nothing says nothing; - the stand-in's list named no hosts, so domains did not find each other. The tests and bench/sockets/run.sh enter the hosts, as a platform does. The own slots are those of servers that are up. Conclusion: idle domains can be spilled to.

--- a/bench/sockets/run.sh
+++ b/bench/sockets/run.sh
@@ -28,9 +28,13 @@
 standin=${started[-1]}
 sleep 1
 hosts=()
+domains=(prairie-a prairie-a prairie-a prairie-b prairie-b prairie-c prairie-c)
 for n in 1 2 3 4 5 6 7; do
   start "host-$n" serve --settings "bench/sockets/host-$n.hujson"
   hosts+=("${started[-1]}")
+  # The platform lists the hosts that it runs.
+  curl -sf -X PUT http://127.0.0.1:7401/hosts -o "$out/list.log" -d "{\"Name\": \"host-$n\", \"Kind\": \"Host\",
+    \"Region\": \"prairie\", \"FailureDomain\": \"${domains[$((n - 1))]}\", \"Address\": \"127.0.0.1:830$n\", \"State\": \"Live\"}"
 done
 sleep 2
 bin/siskinsaddle manifest push --settings bench/sockets/host-1.hujson --wait bench/sockets/kestrel.manifest.hujson
--- a/internal/policy/spill/spill.go
+++ b/internal/policy/spill/spill.go
@@ -81,7 +81,7 @@
 	// Local sums the digests of the groups that could serve it here; only its
 	// FreeSlots count.
 	Local sched.Digest
-	// Slots is the number of slots of the own domain.
+	// Slots is the number of slots of the own domain's servers that are up.
 	Slots int
 }
 
@@ -90,18 +90,27 @@
 	if a.Request.Spilled || a.Local.FreeSlots > 0 {
 		return ""
 	}
-	if float64(p.out+1) > p.settings.OutShare*float64(a.Slots) {
-		return ""
-	}
 	best, most := "", 0.0
 	for _, name := range p.names {
-		if free := p.spare(now, p.domains[name]); free > most {
+		d := p.domains[name]
+		if free := p.spare(now, d); free > most && p.within(a, d) {
 			best, most = name, free
 		}
 	}
 	return best
 }
 
+// within tells whether one more request elsewhere keeps to the share of the own
+// slots. A domain that has none left, since all its servers are lost, may have
+// that share of the other domain's.
+func (p *Policy) within(a Ask, d *domain) bool {
+	slots := a.Slots
+	if slots == 0 {
+		slots = d.slots
+	}
+	return float64(p.out+1) <= p.settings.OutShare*float64(slots)
+}
+
 // spare is the share of a domain's slots that is free beyond the reserve, less
 // what was sent there since it spoke.
 func (p *Policy) spare(now clock.Millis, d *domain) float64 {
--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -247,6 +247,20 @@
 	b.c.Assert(slow*2 < fast, qt.IsTrue, qt.Commentf("slow %d, fast %d", slow, fast))
 }
 
+// A failure domain that has no backend server of its own sends its requests to
+// another one.
+func TestDomainWithoutServersSpills(t *testing.T) {
+	b := newBed(t, "prairie-a", "prairie-b")
+	var told []booked
+	b.awaits(func() bool {
+		told = append(told, b.book(b.hosts[1], "POST", "far"))
+		return told[len(told)-1].status == fasthttp.StatusOK
+	})
+	b.truthful("far", told...)
+	_, err := b.answerOf(b.hosts[1], 5, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+}
+
 // The engines are brought to the models that the manifest wants, and to other
 // ones once it changes, by one host of the failure domain.
 func TestOrdersFollowTheManifest(t *testing.T) {
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -171,6 +171,11 @@
 	return h.admin.Listening()
 }
 
+// LinkAddress is the address of the links.
+func (h *Host) LinkAddress() string {
+	return h.link.Addr()
+}
+
 // Open is how many requests are open.
 func (h *Host) Open() int {
 	return h.entry.Open()
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -92,6 +92,14 @@
 	ctx, kill := context.WithCancel(context.Background())
 	b.c.Cleanup(kill)
 	b.c.Assert(h.Start(ctx), qt.IsNil)
+	b.stand.Platform().SetEntry(roll.Entry{
+		Name:          name,
+		Kind:          roll.KindHost,
+		Region:        s.Region,
+		FailureDomain: domain,
+		Address:       h.LinkAddress(),
+		State:         roll.StateLive,
+	})
 	b.hosts = append(b.hosts, h)
 	b.kills = append(b.kills, kill)
 }
--- a/internal/share/keep/groups.go
+++ b/internal/share/keep/groups.go
@@ -66,6 +66,17 @@
 	return names
 }
 
+// upSlots counts the slots of the servers that are up.
+func (g group) upSlots() int {
+	slots := 0
+	for _, s := range g.Servers {
+		if s.State == sched.ServerUp {
+			slots += s.Slots
+		}
+	}
+	return slots
+}
+
 func (g group) serves(model string) bool {
 	return slices.ContainsFunc(g.Servers, func(s sched.Server) bool {
 		return model == "" || len(s.Models) == 0 || slices.Contains(s.Models, model)
--- a/internal/share/keep/spill.go
+++ b/internal/share/keep/spill.go
@@ -20,7 +20,10 @@
 	FreeSlots    int
 	Waiting      int
 	WaitEstimate clock.Millis
-	Slots        int
+	// Slots are those of the servers that are up, KnownSlots those of them
+	// that the other numbers speak of.
+	Slots      int
+	KnownSlots int
 }
 
 // sum adds up what is known of the groups of this host's failure domain.
@@ -29,27 +32,41 @@
 	for _, service := range c.seams.services() {
 		d := DomainDigest{Service: service}
 		for _, g := range c.groups(service, c.domain) {
-			for _, s := range g.Servers {
-				d.Slots += s.Slots
-			}
-			k, ok := c.digests[numberOf(g.Name)]
-			if !ok || now-k.at > digestLife {
+			slots := g.upSlots()
+			d.Slots += slots
+			digest, ok := c.digestOf(now, g)
+			if !ok {
 				continue
 			}
-			d.FreeSlots += max(0, k.digest.FreeSlots)
-			d.Waiting += k.digest.Waiting
-			d.WaitEstimate = max(d.WaitEstimate, k.digest.WaitEstimate)
+			d.KnownSlots += slots
+			d.FreeSlots += max(0, digest.FreeSlots)
+			d.Waiting += digest.Waiting
+			d.WaitEstimate = max(d.WaitEstimate, digest.WaitEstimate)
 		}
 		all = append(all, d)
 	}
 	return all
 }
 
-// learn takes the sums of a host of another failure domain.
+// digestOf returns what is known of a group: its keeper knows it always, other
+// hosts while they ask for grants there.
+func (c *core) digestOf(now clock.Millis, g group) (sched.Digest, bool) {
+	if d, ok := c.desks[numberOf(g.Name)]; ok && d.open {
+		return d.sched.inner.Digest(now), true
+	}
+	k, ok := c.digests[numberOf(g.Name)]
+	return k.digest, ok && now-k.at <= digestLife
+}
+
+// learn takes the sums of a host of another failure domain. One that knows
+// nothing of a service says nothing about it.
 func (c *core) learn(now clock.Millis, domain string, all []DomainDigest) {
 	for _, d := range all {
+		if d.KnownSlots == 0 {
+			continue
+		}
 		digest := sched.Digest{FreeSlots: d.FreeSlots, Waiting: d.Waiting, WaitEstimate: d.WaitEstimate}
-		c.spills(d.Service).Heard(now, domain, digest, d.Slots)
+		c.spills(d.Service).Heard(now, domain, digest, d.KnownSlots)
 	}
 }
 
