--- a/bench/sockets/run.sh
+++ b/bench/sockets/run.sh
@@ -28,7 +28,12 @@
 standin=${started[-1]}
 sleep 1
 hosts=()
+domains=(prairie-a prairie-a prairie-a prairie-b prairie-b prairie-c prairie-c)
 for n in 1 2 3 4 5 6 7; do
+  # The platform's list names the hosts, so that those of other failure domains
+  # are found.
+  curl -s -o /dev/null -X PUT http://127.0.0.1:7401/hosts \
+    -d "{\"Name\": \"host-$n\", \"Kind\": \"Host\", \"Region\": \"prairie\", \"FailureDomain\": \"${domains[n - 1]}\", \"Address\": \"127.0.0.1:830$n\", \"State\": \"Live\"}"
   start "host-$n" serve --settings "bench/sockets/host-$n.hujson"
   hosts+=("${started[-1]}")
 done
