--- a/internal/base/confs/confs.go
+++ b/internal/base/confs/confs.go
@@ -88,7 +88,7 @@
 	AccessKey              string       `about:"access key of the platform's API"`
 	SecretKey              Secret       `about:"secret key of the platform's API"`
 	TimeoutMilliseconds    clock.Millis `about:"longest wait for one answer"`
-	ListPeriodMilliseconds clock.Millis `about:"time between two readings of the list"`
+	ListPeriodMilliseconds clock.Millis `about:"time between two readings of the list, at the least; long lists are read less often"`
 }
 
 // Stop are the settings of a planned stop.
