--- a/bench/sockets/common.sh
+++ b/bench/sockets/common.sh
@@ -1,7 +1,9 @@
-# Shared by the scripts that measure slopes; sourced, not run, with the folder
-# for their files in "out". All processes
-# listen on loopback, from FIRST_PORT on (20000 by default).
+# Shared by the scripts that measure slopes; sourced, not run. It builds the program
+# into a folder of its own, which goes when the script ends. All processes listen on
+# loopback, from FIRST_PORT on (20000 by default).
 
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+out=$(mktemp -d)
 program=$out/siskinsaddle
 first_port=${FIRST_PORT:-20000}
 standin_port=$first_port
@@ -19,6 +21,9 @@
   started=()
 }
 
+trap 'stop_all; rm -rf "$out"' EXIT
+go build -o "$program" ./cmd/siskinsaddle
+
 # Starts a process in the background; its id is in started[-1].
 start() {
   local name=$1
--- a/bench/sockets/idle.sh
+++ b/bench/sockets/idle.sh
@@ -5,11 +5,7 @@
 # second, third and fourth push the time to the answer and to the last host.
 # Usage: bench/sockets/idle.sh [HOSTS...]
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-out=$(mktemp -d)
-source bench/sockets/common.sh
-trap 'stop_all; rm -rf "$out"' EXIT
-go build -o "$program" ./cmd/siskinsaddle
+source "$(dirname "$0")/common.sh"
 domains=(prairie-a prairie-b prairie-c)
 watch_seconds=20
 sizes=("$@")
--- a/bench/sockets/keeper.sh
+++ b/bench/sockets/keeper.sh
@@ -4,11 +4,7 @@
 # engines, requests at several rates sent to the three that decide nothing.
 # Usage: bench/sockets/keeper.sh [REQUESTS-A-SECOND...]
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-out=$(mktemp -d)
-source bench/sockets/common.sh
-trap 'stop_all; rm -rf "$out"' EXIT
-go build -o "$program" ./cmd/siskinsaddle
+source "$(dirname "$0")/common.sh"
 rates=("$@")
 [ $# -gt 0 ] || rates=(25 50 100 200)
 hosts=4
--- a/bench/sockets/manifest.sh
+++ b/bench/sockets/manifest.sh
@@ -5,11 +5,7 @@
 # host serves under it.
 # Usage: bench/sockets/manifest.sh [WORKSPACES...]
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-out=$(mktemp -d)
-source bench/sockets/common.sh
-trap 'stop_all; rm -rf "$out"' EXIT
-go build -o "$program" ./cmd/siskinsaddle
+source "$(dirname "$0")/common.sh"
 sizes=("$@")
 [ $# -gt 0 ] || sizes=(1000 4000 10000 17000)
 domains=(prairie-a prairie-b prairie-c)
--- a/bench/sockets/streams.sh
+++ b/bench/sockets/streams.sh
@@ -5,11 +5,7 @@
 # Each number has a host of its own that has done nothing before.
 # Usage: bench/sockets/streams.sh [STREAMS...]
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-out=$(mktemp -d)
-source bench/sockets/common.sh
-trap 'stop_all; rm -rf "$out"' EXIT
-go build -o "$program" ./cmd/siskinsaddle
+source "$(dirname "$0")/common.sh"
 sizes=("$@")
 [ $# -gt 0 ] || sizes=(50 100 200 400 800)
 long=400
