--- a/internal/tools/loads/callers.go
+++ b/internal/tools/loads/callers.go
@@ -55,6 +55,7 @@
 	if h.cut {
 		l.notes.cutOff(host)
 	}
+	h.mistake.Class, h.mistake.Number, h.mistake.Host = c.Name, n, host
 	l.notes.ended(c, h)
 }
 
@@ -126,7 +127,8 @@
 	whole  bool
 	// wrong tells that the text is not the one that the backend server gives
 	// for the prompt, or that its end was told before its last token.
-	wrong bool
+	wrong   bool
+	mistake Mistake
 	// cut tells that the connection ended without a word.
 	cut bool
 	// reason is why the router broke the stream off, where it said so.
@@ -151,7 +153,10 @@
 			h.reason = readReason(e.Raw)
 			continue
 		}
-		h.wrong = h.wrong || e.Text != k.text.Word(h.tokens)
+		if want := k.text.Word(h.tokens); e.Text != want && !h.wrong {
+			h.wrong = true
+			h.mistake = Mistake{Token: h.tokens, Got: e.Text, Want: want}
+		}
 		last = l.Clock.Now()
 		if h.firstToken < 0 {
 			h.firstToken = last - started
@@ -172,7 +177,10 @@
 func (h *heard) end(err error, k check) {
 	marked := errors.Is(err, io.EOF)
 	h.whole = marked && h.tokens == k.tokens
-	h.wrong = h.wrong || marked && !h.whole
+	if marked && !h.whole && !h.wrong {
+		h.wrong = true
+		h.mistake = Mistake{Token: h.tokens, Got: "[DONE]"}
+	}
 	h.cut = !marked && h.reason == ""
 }
 
--- a/internal/tools/loads/notes.go
+++ b/internal/tools/loads/notes.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// maxMistakes bounds the wrong texts that are shown.
+	maxMistakes     = 20
 	histogramMost   = 600_000
 	histogramDigits = 3
 	// microPerMilli keeps fractions of the time between tokens.
@@ -30,6 +32,7 @@
 	// word, by the host's address.
 	cuts     map[string]int
 	silences map[string]int
+	mistakes []Mistake
 }
 
 type classNotes struct {
@@ -105,6 +108,9 @@
 	k.sent++
 	if h.wrong {
 		k.wrong++
+		if len(n.mistakes) < maxMistakes {
+			n.mistakes = append(n.mistakes, h.mistake)
+		}
 	}
 	if h.abandoned {
 		k.left++
@@ -196,7 +202,7 @@
 func (n *notes) report(s Settings) Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	report := Report{Dropped: n.dropped, CutOff: n.cuts, NoAnswer: n.silences}
+	report := Report{Dropped: n.dropped, CutOff: n.cuts, NoAnswer: n.silences, Mistakes: n.mistakes}
 	names := append([]string(nil), n.order...)
 	sort.Strings(names)
 	for _, name := range names {
--- a/internal/tools/loads/report.go
+++ b/internal/tools/loads/report.go
@@ -24,14 +24,27 @@
 	Dropped int
 	// CutOff counts streams, and NoAnswer requests, whose connection ended
 	// without a word, by the host's address.
-	CutOff              map[string]int
-	NoAnswer            map[string]int
+	CutOff   map[string]int
+	NoAnswer map[string]int
+	// Mistakes are the first places of some wrong texts.
+	Mistakes            []Mistake
 	DirectFirstTokenP50 int64
 	DirectFirstTokenP99 int64
 	Bookings            Bookings
 	Router              RouterUse
 }
 
+// Mistake is the first token of a stream that is not the right one. Got is
+// "[DONE]" where the end was told too early.
+type Mistake struct {
+	Class  string
+	Number int
+	Host   string
+	Token  int
+	Got    string
+	Want   string
+}
+
 // ClassReport is the report of one class.
 type ClassReport struct {
 	Name  string
@@ -85,6 +98,9 @@
 	k := r.Bookings
 	fmt.Fprintf(&b, "bookings: asked %d, ran once %d, ran twice %d, told done %d (not run %d), told not run %d (ran %d), refusals %v\n",
 		k.Asked, k.RanOnce, k.RanTwice, k.ToldDone, k.ToldDoneNotRun, k.ToldNotRun, k.ToldNotRunButRan, k.Refusals)
+	for _, m := range r.Mistakes {
+		fmt.Fprintf(&b, "wrong text: class %s, request %d on %s: token %d is %q, not %q\n", m.Class, m.Number, m.Host, m.Token, m.Got, m.Want)
+	}
 	fmt.Fprintf(&b, "ended without a word, by host: streams %v, requests %v\n", r.CutOff, r.NoAnswer)
 	fmt.Fprintf(&b, "router: %d ms of processor time, %.2f ms a request, heap %d bytes; not sent %d\n",
 		r.Router.ProcessorMilliseconds, r.Router.ProcessorMillisecondsPerRequest, r.Router.HeapBytes, r.Dropped)
