--- a/internal/fakes/engine/engine.go
+++ b/internal/fakes/engine/engine.go
@@ -164,11 +164,12 @@
 	for {
 		e.mu.Lock()
 		it := e.batch.Step(e.Clock.Now())
+		tokens := e.made(it.Tokens)
 		e.mu.Unlock()
 		if !e.pause(it) {
 			return
 		}
-		e.deliver(it.Tokens)
+		e.deliver(tokens)
 	}
 }
 
@@ -191,12 +192,31 @@
 	}
 }
 
-func (e *Engine) deliver(tokens []batch.TokenOut) {
+// made is a token and the call that it was made for.
+type made struct {
+	call  *call
+	token batch.TokenOut
+}
+
+// made finds the calls of an iteration's tokens as it begins. A request that
+// takes the place of another with its id while the iteration lasts gets none
+// of that one's tokens.
+func (e *Engine) made(tokens []batch.TokenOut) []made {
+	all := make([]made, 0, len(tokens))
+	for _, t := range tokens {
+		if c, ok := e.calls[t.ID]; ok {
+			all = append(all, made{call: c, token: t})
+		}
+	}
+	return all
+}
+
+func (e *Engine) deliver(tokens []made) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, t := range tokens {
-		c, ok := e.calls[t.ID]
-		if !ok {
+	for _, m := range tokens {
+		c, t := m.call, m.token
+		if e.calls[t.ID] != c {
 			continue
 		}
 		e.counts.Tokens++
--- a/internal/fakes/engine/engine_test.go
+++ b/internal/fakes/engine/engine_test.go
@@ -1,9 +1,11 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -185,3 +187,39 @@
 	status, _ = call(c, e, "POST", "/v1/completions", `{"model": "canvas-small"}`)
 	c.Assert(status, qt.Equals, fasthttp.StatusServiceUnavailable)
 }
+
+// streamed reads a stream of a request id to its end and tells the caller's
+// side of the test once its header is there.
+func streamed(c *qt.C, e *engine.Engine, id string, begun chan<- struct{}) string {
+	request, err := http.NewRequest("POST", "http://"+e.Address()+"/v1/completions",
+		strings.NewReader(`{"model":"`+model+`","prompt":"rope","stream":true,"x_tokens":3}`))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set(engine.HeaderRequestID, id)
+	answer, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	close(begun)
+	var text strings.Builder
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		var part openai.CompletionResponse
+		data, _ := strings.CutPrefix(lines.Text(), "data: ")
+		if json.Unmarshal([]byte(data), &part) == nil && len(part.Choices) > 0 {
+			text.WriteString(part.Choices[0].Text)
+		}
+	}
+	return text.String()
+}
+
+// A request that takes the place of one with its id gets its own tokens alone,
+// also where an iteration for the earlier one is under way.
+func TestReplacedRequestGetsItsOwnTokens(t *testing.T) {
+	c := qt.New(t)
+	e := start(c)
+	e.SetFaults(engine.Faults{Slowdown: 30})
+	first, second := make(chan struct{}), make(chan struct{})
+	go streamed(c, e, "r", first)
+	<-first
+	want := engine.Text{Model: model, Prompt: "rope"}.Words(3)
+	c.Assert(streamed(c, e, "r", second), qt.Equals, want)
+}
