--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -90,7 +90,7 @@
 		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
 	}
-	h.tries = newTries(h.Clock, h.Settings.Backend.MaxAttempts)
+	h.tries = newTries(h.Clock, h.Count, h.Settings.Backend.MaxAttempts)
 	h.governed = &governed{changed: h.tries.govern}
 	h.machines = &machines{
 		read:   h.List,
@@ -157,7 +157,7 @@
 func (h *Host) serve() {
 	defer close(h.stopped)
 	if err := h.entry.Serve(); err != nil {
-		h.Log.Error("Stopped taking callers.", "error", err)
+		h.Log.WithPrefix("host").Error("Stopped taking callers.", "error", err)
 	}
 }
 
@@ -196,7 +196,7 @@
 	<-h.stopped
 	h.watch.Leave(ctx)
 	if stopErr := h.members.Stop(ctx); stopErr != nil {
-		h.Log.Warn("Could not remove the registration.", "error", stopErr)
+		h.Log.WithPrefix("host").Warn("Could not remove the registration.", "error", stopErr)
 	}
 	h.cancel()
 	h.admin.Stop()
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -73,6 +73,7 @@
 	CauseSilent      Cause = "Silent"
 	CauseCrossed     Cause = "CrossedAnswer"
 	CauseNoResume    Cause = "NoResume"
+	CauseNotLoaded   Cause = "ModelNotLoaded"
 )
 
 // Failure is a failed attempt, for the decision on the next one.
@@ -237,7 +238,11 @@
 
 // tryHedge starts a second attempt where the first has brought nothing yet.
 func (s *Stream) tryHedge() {
-	if s.winner >= 0 || len(s.live) != 1 || !s.relay.MayHedge(s.job.Request, s.granted) {
+	if s.winner >= 0 || len(s.live) != 1 {
+		return
+	}
+	if !s.relay.MayHedge(s.job.Request, s.granted) {
+		s.count("siskinsaddle_hedges_total", "Denied")
 		return
 	}
 	s.count("siskinsaddle_hedges_total", "Sent")
--- a/internal/tools/verbs/manifest.go
+++ b/internal/tools/verbs/manifest.go
@@ -60,7 +60,7 @@
 func connectPlatform(s confs.Settings) platformSide {
 	platform := platformOf(s)
 	t := amazon.NewTable(platform)
-	members := &hosts.Node{Table: t, Log: logs.New(os.Stderr, s.LogLevel)}
+	members := &hosts.Node{Table: t, Log: logs.New(os.Stderr, s.LogLevel).WithPrefix("hosts")}
 	return platformSide{
 		Platform: accept.Platform{Table: t, Objects: amazon.NewObjects(platform), Clock: clock.System()},
 		registrations: func(ctx context.Context, domain string) ([]string, error) {
