--- a/bench/sockets/run.sh
+++ b/bench/sockets/run.sh
@@ -36,9 +36,6 @@
     -d "{\"Name\": \"host-$n\", \"Kind\": \"Host\", \"Region\": \"prairie\", \"FailureDomain\": \"${domains[n - 1]}\", \"Address\": \"127.0.0.1:830$n\", \"State\": \"Live\"}"
   start "host-$n" serve --settings "bench/sockets/host-$n.hujson"
   hosts+=("${started[-1]}")
-  # The platform lists the hosts that it runs.
-  curl -sf -X PUT http://127.0.0.1:7401/hosts -o "$out/list.log" -d "{\"Name\": \"host-$n\", \"Kind\": \"Host\",
-    \"Region\": \"prairie\", \"FailureDomain\": \"${domains[$((n - 1))]}\", \"Address\": \"127.0.0.1:830$n\", \"State\": \"Live\"}"
 done
 sleep 2
 bin/siskinsaddle manifest push --settings bench/sockets/host-1.hujson --wait bench/sockets/kestrel.manifest.hujson
@@ -51,7 +48,12 @@
 for n in 0 2 3 4 5 6; do
   kill -TERM "${hosts[$n]}"
 done
+failed=0
 for n in 0 2 3 4 5 6; do
-  wait "${hosts[$n]}" && echo "host $((n + 1)) stopped with 0" || echo "host $((n + 1)) stopped with $?"
+  code=0
+  wait "${hosts[$n]}" || code=$?
+  echo "host $((n + 1)) stopped with $code"
+  [ "$code" = 0 ] || failed=1
 done
 kill -TERM "$standin"
+exit "$failed"
