A manifest change keeps the retry budget and what hedges have learnt

Cause, found by reading: each new generation made a full retry budget and empty hedges. Test: an empty budget stays empty and a hedge stays the same over a change that leaves the shares alone.

--- a/internal/serve/hostd/tries.go
+++ b/internal/serve/hostd/tries.go
@@ -25,25 +25,43 @@
 	maxAttempts int
 	mu          sync.Mutex
 	budget      *retry.Budget
+	retryShare  float64
 	// hedges has an entry for each service that hedges.
-	hedges map[string]*retry.Hedge
+	hedges map[string]serviceHedge
+}
+
+// serviceHedge is the hedging of one service.
+type serviceHedge struct {
+	*retry.Hedge
+	share float64
 }
 
 func newTries(c clock.Clock, s *count.Set, maxAttempts int) *tries {
 	return &tries{clock: c, count: s, maxAttempts: maxAttempts, budget: retry.NewBudget(0, savedRetries)}
 }
 
-// govern puts the manifest's shares in force.
+// govern puts the manifest's shares in force. Where a share stays, so does what
+// has been saved and learnt, or else every change of the manifest would fill
+// the budget and forget the times to the first token.
 func (t *tries) govern(x *mfest.Index) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.budget = retry.NewBudget(x.Manifest.Limits.RetryShare, savedRetries)
-	t.hedges = map[string]*retry.Hedge{}
+	if share := x.Manifest.Limits.RetryShare; share != t.retryShare {
+		t.retryShare = share
+		t.budget = retry.NewBudget(share, savedRetries)
+	}
+	hedges := map[string]serviceHedge{}
 	for _, s := range x.Manifest.Services {
-		if s.HedgeShare > 0 {
-			t.hedges[s.Name] = retry.NewHedge(s.HedgeShare, savedHedges)
+		if s.HedgeShare <= 0 {
+			continue
+		}
+		h, ok := t.hedges[s.Name]
+		if !ok || h.share != s.HedgeShare {
+			h = serviceHedge{Hedge: retry.NewHedge(s.HedgeShare, savedHedges), share: s.HedgeShare}
 		}
+		hedges[s.Name] = h
 	}
+	t.hedges = hedges
 }
 
 func (t *tries) finished(sched.Request) {
--- a/internal/serve/hostd/tries_test.go
+++ b/internal/serve/hostd/tries_test.go
@@ -11,6 +11,7 @@
 	"siskinsaddle/internal/serve/refuse"
 	"siskinsaddle/internal/serve/relay"
 	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/mfest"
 )
 
 // Each reason against one more attempt is found and counted.
@@ -40,6 +41,29 @@
 		count.Label{Key: "reason", Value: "Budget"}, count.Label{Key: "class", Value: "urgent"}), qt.Equals, int64(1))
 }
 
+// A change of the manifest that leaves the shares alone fills no budget and
+// forgets no hedge; one that changes them does.
+func TestManifestChangeKeepsBudgets(t *testing.T) {
+	c := qt.New(t)
+	tr := newTries(clock.NewManual(100).Clock(), count.NewSet(), 3)
+	m := mfest.Default()
+	tr.govern(mfest.NewIndex(m))
+	again := relay.Failure{Repeatable: true, Sent: wire.SentAll, Attempt: 1, GiveUp: 200}
+	for tr.mayRetry(again) {
+		continue
+	}
+	before := tr.hedges["canvas-llm"]
+	c.Assert(before.Hedge, qt.IsNotNil)
+	tr.govern(mfest.NewIndex(m))
+	c.Assert(tr.mayRetry(again), qt.IsFalse)
+	c.Assert(tr.hedges["canvas-llm"], qt.Equals, before)
+	m.Limits.RetryShare /= 2
+	m.Services[0].HedgeShare /= 2
+	tr.govern(mfest.NewIndex(m))
+	c.Assert(tr.mayRetry(again), qt.IsTrue)
+	c.Assert(tr.hedges["canvas-llm"], qt.Not(qt.Equals), before)
+}
+
 // A keeper's reason that this host does not know still becomes a refusal.
 func TestGrantRefusal(t *testing.T) {
 	c := qt.New(t)
