--- a/bench/sockets/common.sh
+++ b/bench/sockets/common.sh
@@ -2,7 +2,7 @@
 # into a folder of its own, which goes when the script ends. All processes listen on
 # loopback, from FIRST_PORT on (20000 by default).
 
-cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+cd -P "$(dirname "${BASH_SOURCE[0]}")/../.."
 out=$(mktemp -d)
 program=$out/siskinsaddle
 first_port=${FIRST_PORT:-20000}
