A long prompt on a slowed engine is not taken for a silent stream

Cause: an engine that sends its answer's header at once and then reads a long prompt was silent for longer than ProgressTimeoutMilliseconds, since only the header had the longer first wait. Each of three attempts was cut off and the caller told BackendFailed: 4000 prompt tokens on two engines slowed 4x, 502 before, the whole answer and no failed attempt after. The wait for the first token now grows by 1 ms a prompt token up to FirstTimeoutMilliseconds, so that a short prompt on a lost connection is still known within the same time. Ruled out: waiting FirstTimeoutMilliseconds for every first token, which leaves a short request 20 s on a silent connection.

--- a/internal/serve/hostd/fault_test.go
+++ b/internal/serve/hostd/fault_test.go
@@ -19,6 +19,7 @@
 	"siskinsaddle/internal/serve/events"
 	"siskinsaddle/internal/serve/hostd"
 	"siskinsaddle/internal/serve/refuse"
+	"siskinsaddle/internal/serve/relay"
 )
 
 // engines are the names of the embedded engines.
@@ -26,7 +27,11 @@
 
 // open starts a streamed answer of a length.
 func (b *bed) open(ctx context.Context, h *hostd.Host, tokens int) *http.Response {
-	body := fmt.Sprintf(`{"model":"canvas-small","stream":true,"x_tokens":%d,"prompt":"Which filter fits?"}`, tokens)
+	return b.openPrompt(ctx, h, "Which filter fits?", tokens)
+}
+
+func (b *bed) openPrompt(ctx context.Context, h *hostd.Host, prompt string, tokens int) *http.Response {
+	body := fmt.Sprintf(`{"model":"canvas-small","stream":true,"x_tokens":%d,"prompt":%q}`, tokens, prompt)
 	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.Address()+"/v1/completions", strings.NewReader(body))
 	b.c.Assert(err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer demo-key")
@@ -106,6 +111,23 @@
 	}
 }
 
+// A long prompt is read to its end by a slowed engine that sends its header at
+// once and then nothing for longer than a stream may be silent.
+func TestLongPromptOnSlowedEngine(t *testing.T) {
+	b := newBed(t)
+	for _, name := range engines {
+		b.stand.Engine(name).SetFaults(engine.Faults{Slowdown: 4})
+	}
+	answer := b.openPrompt(context.Background(), b.host, strings.Repeat("seam ", 3200), 3)
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Assert(string(text), qt.Contains, "[DONE]")
+	failed := b.host.Count.Count("siskinsaddle_attempt_failures_total",
+		count.Label{Key: "reason", Value: string(relay.CauseSilent)}, count.Label{Key: "class", Value: "standard"})
+	b.c.Assert(failed, qt.Equals, int64(0))
+}
+
 // When a caller leaves, the engine stops working on its request.
 func TestAbandonedRequestIsCancelled(t *testing.T) {
 	b := newBed(t)
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -221,19 +221,20 @@
 
 func (h *Host) newRelay() *relay.Relay {
 	return &relay.Relay{
-		Ask:          h.ask,
-		Progress:     h.progress,
-		Done:         h.done,
-		Send:         h.client.Do,
-		MayRetry:     h.tries.mayRetry,
-		HedgeAfter:   h.tries.hedgeAfter,
-		MayHedge:     h.tries.mayHedge,
-		FirstToken:   h.tries.firstToken,
-		Finished:     h.tries.finished,
-		FirstTimeout: h.Settings.Backend.FirstTimeoutMilliseconds,
-		Clock:        h.Clock,
-		Count:        h.Count,
-		Pool:         h.pool,
+		Ask:             h.ask,
+		Progress:        h.progress,
+		Done:            h.done,
+		Send:            h.client.Do,
+		MayRetry:        h.tries.mayRetry,
+		HedgeAfter:      h.tries.hedgeAfter,
+		MayHedge:        h.tries.mayHedge,
+		FirstToken:      h.tries.firstToken,
+		Finished:        h.tries.finished,
+		FirstTimeout:    h.Settings.Backend.FirstTimeoutMilliseconds,
+		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
+		Clock:           h.Clock,
+		Count:           h.Count,
+		Pool:            h.pool,
 	}
 }
 
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -151,6 +151,7 @@
 		Headers:          a.headers(),
 		Body:             job.Body,
 		FirstByteTimeout: a.stream.relay.FirstTimeout,
+		BeginTimeout:     a.beginTimeout(),
 	})
 	a.sent = sent
 	if err != nil {
@@ -160,7 +161,20 @@
 	if n, ok := a.checkAnswer(answer); !ok {
 		return n
 	}
-	return a.readAll(events.NewReader(answer.Body))
+	return a.readAll(events.NewReader(answer.Body), answer.Begun)
+}
+
+// promptTokenWait is how much longer a backend server may be silent before its
+// first token, for each token of the prompt that it has to read.
+const promptTokenWait = 1 * clock.Millis(1)
+
+// beginTimeout bounds the silence before the first token. A long prompt takes
+// long to read, the more so on a slowed server, which may have sent the
+// answer's header already; a short one is soon known to be lost.
+func (a *attempt) beginTimeout() clock.Millis {
+	r := a.stream.relay
+	reading := clock.Millis(a.stream.job.Request.PromptTokens) * promptTokenWait
+	return min(r.FirstTimeout, r.ProgressTimeout+reading)
 }
 
 func (a *attempt) headers() []wire.Header {
@@ -217,7 +231,8 @@
 	return note{kind: noteFinal, final: &Final{Status: answer.Status, Body: body}}
 }
 
-func (a *attempt) readAll(r *events.Reader) note {
+// readAll reads the answer to its end and calls begun after the first token.
+func (a *attempt) readAll(r *events.Reader, begun func()) note {
 	finished := false
 	for {
 		e, err := r.Next()
@@ -229,6 +244,9 @@
 		}
 		finished = finished || e.Finish != ""
 		a.observe(e)
+		if a.tokens > 0 {
+			begun()
+		}
 		if a.repeats(e) {
 			continue
 		}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -115,8 +115,10 @@
 
 	// FirstTimeout is the longest wait for a backend server's first byte.
 	FirstTimeout clock.Millis
-	Clock        clock.Clock
-	Count        *count.Set
+	// ProgressTimeout is the longest silence within an answer.
+	ProgressTimeout clock.Millis
+	Clock           clock.Clock
+	Count           *count.Set
 	// Pool runs the attempts.
 	Pool *ants.Pool
 }
--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -4,8 +4,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"siskinsaddle/internal/base/clock"
 )
 
 // writeBytes is how much is written under one deadline.
@@ -18,8 +16,11 @@
 	progress time.Duration
 	// firstByte is the deadline of the next read, 0 for progress.
 	firstByte time.Duration
-	taken     int
-	used      bool
+	// begin is the deadline of reads until the answer's body has begun, 0 for
+	// progress.
+	begin time.Duration
+	taken int
+	used  bool
 }
 
 func (c *Client) dial(address string) (net.Conn, error) {
@@ -31,15 +32,19 @@
 	return &conn{Conn: plain, progress: progress.Duration()}, nil
 }
 
-// begin prepares the connection for one request.
-func (c *conn) begin(firstByte clock.Millis) {
+// prepare makes the connection ready for one request.
+func (c *conn) prepare(r Request) {
 	c.taken = 0
 	c.used = true
-	c.firstByte = firstByte.Duration()
+	c.firstByte = r.FirstByteTimeout.Duration()
+	c.begin = r.BeginTimeout.Duration()
 }
 
+// begun ends the wait for the begin of an answer's body.
+func (c *conn) begun() { c.begin = 0 }
+
 func (c *conn) Read(p []byte) (int, error) {
-	wait := c.progress
+	wait := max(c.progress, c.begin)
 	if c.firstByte > 0 {
 		wait = c.firstByte
 		c.firstByte = 0
--- a/internal/serve/wire/trip.go
+++ b/internal/serve/wire/trip.go
@@ -67,7 +67,7 @@
 		open := t.conn
 		t.ctx, t.cancel = context.WithCancel(ctx)
 		t.forget = context.AfterFunc(t.ctx, func() { _ = open.Close() })
-		open.begin(t.request.FirstByteTimeout)
+		open.prepare(t.request)
 		return nil
 	}
 }
@@ -121,6 +121,7 @@
 		Headers: make([]Header, 0, header.Len()),
 		Length:  header.ContentLength(),
 		Body:    &body{trip: t, stream: t.answer.BodyStream()},
+		Begun:   t.conn.begun,
 	}
 	for name, value := range header.All() {
 		answer.Headers = append(answer.Headers, Header{Name: string(name), Value: string(value)})
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -94,6 +94,9 @@
 	// FirstByteTimeout is the wait for the answer's first byte in
 	// milliseconds, ProgressTimeout of the client where it is 0.
 	FirstByteTimeout clock.Millis
+	// BeginTimeout bounds each read of the answer's body until its Begun is
+	// called, in milliseconds, where it is longer than ProgressTimeout.
+	BeginTimeout clock.Millis
 }
 
 // Answer is the header of an answer and its body, still to be read. Body must
@@ -104,6 +107,8 @@
 	Headers []Header
 	Length  int
 	Body    io.ReadCloser
+	// Begun ends the BeginTimeout. It is called between reads of Body.
+	Begun func()
 }
 
 // Header returns the first field of that name, "" where there is none.
