--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -75,6 +75,13 @@
 	request.ID = attemptID(request.ID, a.number)
 	request.Avoid = a.avoid
 	request.Begun = a.offset > 0
+	if a.offset > 0 {
+		// A resumed attempt waits here, where it holds no slot yet.
+		if refusal := a.allowed(); refusal != nil {
+			a.fail(note{kind: noteRefused, refusal: refusal})
+			return
+		}
+	}
 	grant, refusal := a.stream.relay.Ask(a.ctx, request)
 	if refusal != nil {
 		a.fail(note{kind: noteRefused, refusal: refusal})
@@ -138,10 +145,42 @@
 	a.stream.relay.Done(a.stream.job.Request.Service, sched.Done{Progress: a.progress(), Outcome: outcome})
 }
 
+const (
+	// currentWait is how long a broken stream waits for its host to learn
+	// whether its manifest is in force, currentPeriod the time between looks.
+	currentWait   = 3 * clock.Second
+	currentPeriod = 20 * clock.Millis(1)
+)
+
+// passing are the refusals that end once the host knows its manifest again, as
+// after a pause of the process.
+var passing = map[refuse.Reason]bool{
+	refuse.ReasonNotReady:  true,
+	refuse.ReasonUncertain: true,
+}
+
+// allowed tells whether the request may be sent. A first attempt is refused at
+// once, since nothing ran. The caller of a resumed one has a part of the
+// answer already, so that it waits a while instead of breaking off.
+func (a *attempt) allowed() *refuse.Refusal {
+	now := a.stream.relay.Clock.Now
+	until := now() + currentWait
+	refusal := a.stream.job.Allowed()
+	for refusal != nil && passing[refusal.Reason] && a.offset > 0 && now() < until {
+		select {
+		case <-a.ctx.Done():
+			return refusal
+		case <-a.stream.relay.Clock.After(currentPeriod):
+		}
+		refusal = a.stream.job.Allowed()
+	}
+	return refusal
+}
+
 // exchange sends the request and reads the answer to its end.
 func (a *attempt) exchange() note {
 	job := a.stream.job
-	if refusal := job.Allowed(); refusal != nil {
+	if refusal := a.allowed(); refusal != nil {
 		return note{kind: noteRefused, refusal: refusal}
 	}
 	answer, sent, err := a.stream.relay.Send(a.ctx, wire.Request{
