A stream is resumed as long as tokens come

The tries are counted from the last token now: in the new cases four servers that each bring one token give the whole answer (broken off after three before), and three without a token still end it.

--- a/internal/base/confs/confs.go
+++ b/internal/base/confs/confs.go
@@ -73,7 +73,7 @@
 	FirstTimeoutMilliseconds    clock.Millis `about:"longest wait for the first part of an answer"`
 	ProgressTimeoutMilliseconds clock.Millis `about:"longest silence within an answer"`
 	MaxAnswerBytes              int          `about:"longest answer of a plain service"`
-	MaxAttempts                 int          `about:"tries of one repeatable request at the most"`
+	MaxAttempts                 int          `about:"tries of one repeatable request without a new token at the most"`
 }
 
 // Platform are the addresses of the platform. The defaults are those of the
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -78,9 +78,11 @@
 
 // Failure is a failed attempt, for the decision on the next one.
 type Failure struct {
-	Cause   Cause
-	Class   string
-	Server  string
+	Cause  Cause
+	Class  string
+	Server string
+	// Attempt is how many attempts were made since the last token, that of the
+	// token left out.
 	Attempt int
 	// Delivered is how many tokens the caller has.
 	Delivered int
@@ -147,13 +149,15 @@
 
 // Stream is one completion under way. It is not safe for concurrent use.
 type Stream struct {
-	relay     *Relay
-	job       Job
-	ctx       context.Context
-	cancel    context.CancelFunc
-	notes     chan note
-	live      map[int]*attempt
-	made      int
+	relay  *Relay
+	job    Job
+	ctx    context.Context
+	cancel context.CancelFunc
+	notes  chan note
+	live   map[int]*attempt
+	made   int
+	// fruitful is how many attempts were made when the last token came.
+	fruitful  int
 	winner    int
 	delivered int
 	// begun tells that an event has been returned, sent that a server may have
@@ -296,6 +300,9 @@
 	}
 	s.begun = true
 	s.delivered += n.event.Tokens
+	if n.event.Tokens > 0 {
+		s.fruitful = s.made
+	}
 	return Step{Event: n.event}, true
 }
 
@@ -351,7 +358,7 @@
 		Cause:      n.cause,
 		Class:      s.job.Request.Class,
 		Server:     n.server,
-		Attempt:    s.made,
+		Attempt:    s.made - s.fruitful,
 		Delivered:  s.delivered,
 		GiveUp:     s.job.Request.GiveUp,
 		Sent:       n.sentAs,
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -162,6 +162,16 @@
 var completions = []completion{
 	{"whole", []server{says(whole, "a", "b")}, "ab", "", "", "", ""},
 	{"resumed", []server{says(broken, "a"), says(whole, "b")}, "ab", "", "", resumes, relay.CauseBroken},
+	{
+		"resumed as long as tokens come",
+		[]server{says(broken, "a"), says(broken, "b"), says(broken, "c"), says(whole, "d")},
+		"abcd", "", "", "", "",
+	},
+	{
+		"resumes used up without a token",
+		[]server{says(broken, "a"), status(500), status(500), status(500), says(whole, "b")},
+		"a", refuse.ReasonBackendFailed, refuse.RanUnknown, "", "",
+	},
 	{
 		"resume that begins again",
 		[]server{says(broken, "a"), nameless(says(whole, "a", "b"), requestID)},
