--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -68,7 +68,7 @@
 }
 
 func answer(code int, body string, headers ...wire.Header) wire.Answer {
-	return wire.Answer{Status: code, Headers: headers, Body: io.NopCloser(strings.NewReader(body))}
+	return wire.Answer{Status: code, Headers: headers, Body: io.NopCloser(strings.NewReader(body)), Begun: func() {}}
 }
 
 // rig is a relay before servers that answer one attempt each, in order. Where
@@ -78,13 +78,14 @@
 	mu      sync.Mutex
 	asked   []sched.Request
 	outcome chan sched.Outcome
+	allowed func() *refuse.Refusal
 }
 
 func newRig(c *qt.C, servers ...server) *rig {
 	pool, err := ants.NewPool(8)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(pool.Release)
-	g := &rig{outcome: make(chan sched.Outcome, 8)}
+	g := &rig{outcome: make(chan sched.Outcome, 8), allowed: func() *refuse.Refusal { return nil }}
 	g.relay = &relay.Relay{
 		Ask: func(_ context.Context, r sched.Request) (relay.Grant, *refuse.Refusal) {
 			g.mu.Lock()
@@ -120,7 +121,7 @@
 func (g *rig) run(c *qt.C) (string, relay.Step) {
 	s := g.relay.Start(context.Background(), relay.Job{
 		Request: sched.Request{ID: requestID, Class: "urgent"},
-		Allowed: func() *refuse.Refusal { return nil },
+		Allowed: g.allowed,
 	})
 	defer s.Close()
 	var text strings.Builder
@@ -161,6 +162,16 @@
 var completions = []completion{
 	{"whole", []server{says(whole, "a", "b")}, "ab", "", "", "", ""},
 	{"resumed", []server{says(broken, "a"), says(whole, "b")}, "ab", "", "", resumes, relay.CauseBroken},
+	{
+		"resumed as long as tokens come",
+		[]server{says(broken, "a"), says(broken, "b"), says(broken, "c"), says(whole, "d")},
+		"abcd", "", "", "", "",
+	},
+	{
+		"resumes used up without a token",
+		[]server{says(broken, "a"), status(500), status(500), status(500), says(whole, "b")},
+		"a", refuse.ReasonBackendFailed, refuse.RanUnknown, "", "",
+	},
 	{
 		"resume that begins again",
 		[]server{says(broken, "a"), nameless(says(whole, "a", "b"), requestID)},
@@ -218,6 +229,25 @@
 	}
 }
 
+// A stream that breaks while the host does not know whether its manifest is in
+// force goes on once it knows, and is not broken off.
+func TestResumeWaitsUntilTheHostIsCurrent(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, says(broken, "a"), says(whole, "b"))
+	g.relay.Clock = clock.System()
+	looks := 0
+	g.allowed = func() *refuse.Refusal {
+		looks++
+		if looks == 2 || looks == 3 {
+			return refuse.New(refuse.ReasonNotReady)
+		}
+		return nil
+	}
+	text, last := g.run(c)
+	c.Assert(text, qt.Equals, "ab")
+	c.Assert(last.End, qt.IsTrue)
+}
+
 // A server's own error is the caller's answer while it has no other.
 func TestServerErrorIsPassedOn(t *testing.T) {
 	c := qt.New(t)
