The entry's tests close the wait for the first token

An answer of wire now has Begun, which the relay calls at the first token; the answers of the entry's tests had none, the attempt panicked in its pool, and the test waited for ever. Before: go test ./internal/serve/entry ends with 'test timed out'; after: it passes three times under -race.

--- a/internal/serve/entry/entry_test.go
+++ b/internal/serve/entry/entry_test.go
@@ -72,7 +72,7 @@
 			},
 			Send: func(_ context.Context, r wire.Request) (wire.Answer, wire.Sent, error) {
 				body := io.NopCloser(strings.NewReader(<-g.answers))
-				return wire.Answer{Status: 200, Headers: r.Headers, Body: body}, wire.SentAll, nil
+				return wire.Answer{Status: 200, Headers: r.Headers, Body: body, Begun: func() {}}, wire.SentAll, nil
 			},
 			Progress:   func(string, sched.Progress) {},
 			Done:       func(string, sched.Done) {},
