An attempt that panics ends as failed

After: the attempt gives its slot back and ends with cause Panic, counted, and is retried under the budget; the new case of TestCompletion gets its answer from the second server. Before the change the same case waits for ever. Conclusion: a fault of the program costs one attempt, not a caller.

--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -71,6 +71,7 @@
 // grant back whatever happens.
 func (a *attempt) run() {
 	defer a.cancel()
+	defer a.recovered()
 	request := a.stream.job.Request
 	request.ID = attemptID(request.ID, a.number)
 	request.Avoid = a.avoid
@@ -96,6 +97,20 @@
 	a.fail(last)
 }
 
+// recovered ends an attempt that panicked as a failed one, so that its caller
+// does not wait for a note that never comes and its slot is freed.
+func (a *attempt) recovered() {
+	if recover() == nil {
+		return
+	}
+	last := note{kind: noteFailed, cause: CausePanic}
+	if a.grant.ID != "" {
+		a.sent = wire.SentMaybe
+		a.giveBack(last)
+	}
+	a.fail(last)
+}
+
 // fail tells the stream how the attempt ended.
 func (a *attempt) fail(n note) {
 	a.tell(n)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -73,7 +73,9 @@
 	CauseSilent      Cause = "Silent"
 	CauseCrossed     Cause = "CrossedAnswer"
 	CauseNoResume    Cause = "NoResume"
-	CauseNotLoaded   Cause = "ModelNotLoaded"
+	// CausePanic is a fault of this program.
+	CausePanic     Cause = "Panic"
+	CauseNotLoaded Cause = "ModelNotLoaded"
 )
 
 // Failure is a failed attempt, for the decision on the next one.
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// panics stands for a fault of the program within an attempt.
+func panics(context.Context, wire.Request) (wire.Answer, wire.Sent, error) {
+	panic("a fault within the attempt")
+}
+
 // nameless is a server that ignores the router's headers.
 func nameless(s server, keep string) server {
 	return func(ctx context.Context, r wire.Request) (wire.Answer, wire.Sent, error) {
@@ -183,6 +188,7 @@
 		"ab", "", "", resumes, relay.CauseServerError,
 	},
 	{"unreachable", []server{fails(wire.SentNothing, wire.ErrDial), says(whole, "a")}, "a", "", "", retries, relay.CauseUnreachable},
+	{"panic", []server{panics, says(whole, "a")}, "a", "", "", retries, relay.CausePanic},
 	{"silent", []server{fails(wire.SentAll, wire.ErrSilent), says(whole, "a")}, "a", "", "", retries, relay.CauseSilent},
 	{
 		"leaving",
