--- /dev/null
+++ b/internal/policy/grant/grant.go
@@ -0,0 +1,376 @@
+// Package grant decides for one service of model engines which request runs on
+// which server, and when. One host, the service's keeper, decides for all; the
+// others ask it.
+//
+// It answers the load of a day's first minutes and of each crest: prompts whose
+// long shared parts are cached nowhere yet, so that reading, not generation,
+// fills the engines. What it does about it:
+//
+//   - A shared part is read once. Requests that come while a server reads it
+//     wait for that server instead of reading it elsewhere, unless another
+//     server would be ready much sooner.
+//   - A part that is cached nowhere goes where the least is still to be read,
+//     by tokens, not by the number of requests.
+//   - A server is handed the next prompt shortly before it has read the last,
+//     so that what waits does so here, in the order of tiers.
+//   - Short prompts have servers of their own, as many as their share of the
+//     reading asks for: the pauses between their tokens are as long as the
+//     pieces of long prompts that are read in between.
+//
+// The code is pure: it is told the time and what happened, and returns
+// decisions.
+//
+// # Usage
+//
+//	c := grant.New(grant.Defaults())
+//	c.SetServers(servers)
+//	c.Ask(now, ask)
+//	for _, d := range c.Next(now) { send(d) }
+//	c.Started(now, id)  // the first event of the answer came
+//	c.Ended(now, id, place.OutcomeServed)
+package grant
+
+import (
+	"sort"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/place"
+)
+
+// Ask is one request that wants a server.
+type Ask struct {
+	// ID is unique among all hosts, Host the asking one.
+	ID   string
+	Host string
+	// Class is the route; its requests are alike in length.
+	Class string
+	Parts []place.Part
+	// Tokens is the length of the whole prompt.
+	Tokens int
+	// Tier is the rank, 0 the most urgent.
+	Tier int
+	// Target is the time for the first event in milliseconds, Left the time
+	// until the caller gives up.
+	Target clock.Millis
+	Left   clock.Millis
+	// Avoid are servers that were tried.
+	Avoid []string
+}
+
+// Decision answers an Ask. Server is empty for a refusal.
+type Decision struct {
+	ID     string
+	Host   string
+	Server string
+	Reason string
+	// RetryAfter is when a refused caller had best come back, in milliseconds.
+	RetryAfter clock.Millis
+	// Unread is how much the server has still to read before, in milliseconds,
+	// Waited how long the request was held back.
+	Unread clock.Millis
+	Waited clock.Millis
+}
+
+// Settings are the weights of the decisions.
+type Settings struct {
+	// TokensPerMilli is the pace at which a prompt is taken to be read before
+	// one was seen.
+	TokensPerMilli float64
+	// Ahead is how much reading a server is handed before it is through with
+	// what it has, in milliseconds.
+	Ahead clock.Millis
+	// Again is the price of reading what another server holds, as a multiple
+	// of the time that it takes.
+	Again float64
+	// ShortTokens is the mean prompt length below which a class counts as
+	// short; ShortWeight how many times its work counts when servers are dealt
+	// out.
+	ShortTokens float64
+	ShortWeight float64
+	// OtherGroup is the price of a server of the other group, in milliseconds.
+	OtherGroup float64
+	// PerRunning is the price of each request that runs on the server, in
+	// milliseconds.
+	PerRunning float64
+	// LeastTail is the time below which an answer cannot be given any more, in
+	// milliseconds.
+	LeastTail clock.Millis
+}
+
+// Defaults are the settings with which the standard days were measured.
+func Defaults() Settings {
+	return Settings{
+		TokensPerMilli: 45,
+		Ahead:          150,
+		Again:          1,
+		ShortTokens:    4_000,
+		ShortWeight:    3,
+		OtherGroup:     300,
+		PerRunning:     4,
+		LeastTail:      300,
+	}
+}
+
+// asked is an ask that waits.
+type asked struct {
+	Ask
+	at    clock.Millis
+	until clock.Millis
+}
+
+// granted is a request at a server.
+type granted struct {
+	Ask
+	server *server
+	at     clock.Millis
+	until  clock.Millis
+	// read is the expected time of reading, in milliseconds, fresh the tokens
+	// that were not cached.
+	read    float64
+	fresh   int
+	started bool
+	// alone tells that nothing else was being read, so that its first event
+	// shows the pace.
+	alone bool
+}
+
+// Core decides for one service. Take New; it is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	servers  map[string]*server
+	order    []*server
+	queue    []*asked
+	granted  map[string]*granted
+	classes  map[string]*class
+	pace     float64
+	// holders counts the servers that hold a part.
+	holders map[string]int
+	ready   []Decision
+}
+
+// New returns a Core without servers.
+func New(s Settings) *Core {
+	return &Core{
+		settings: s,
+		servers:  map[string]*server{},
+		granted:  map[string]*granted{},
+		classes:  map[string]*class{},
+		holders:  map[string]int{},
+		pace:     s.TokensPerMilli,
+	}
+}
+
+// SetServers takes in the servers of the service. A server that starts again
+// holds nothing of before.
+func (c *Core) SetServers(all []fleet.Server) {
+	present := map[string]bool{}
+	c.order = c.order[:0]
+	for _, f := range all {
+		present[f.ID] = true
+		s := c.servers[f.ID]
+		if s == nil || s.Born != f.Born || s.Address != f.Address {
+			c.forget(s)
+			s = newServer()
+			c.servers[f.ID] = s
+		}
+		s.Server = f
+		c.order = append(c.order, s)
+	}
+	for id, s := range c.servers {
+		if !present[id] {
+			c.forget(s)
+			delete(c.servers, id)
+		}
+	}
+	sort.Slice(c.order, func(i, j int) bool { return c.order[i].ID < c.order[j].ID })
+}
+
+// forget takes a server's parts out of the count of holders.
+func (c *Core) forget(s *server) {
+	if s == nil {
+		return
+	}
+	for name := range s.parts {
+		c.drop(s, name)
+	}
+	s.gone = true
+}
+
+// Ask queues a request. Next decides on it.
+func (c *Core) Ask(now clock.Millis, a Ask) {
+	c.class(a.Class).asked(now, a)
+	c.queue = append(c.queue, &asked{Ask: a, at: now, until: now + a.Left})
+}
+
+// Cancel takes back an ask, or ends a grant that was not used.
+func (c *Core) Cancel(now clock.Millis, id string) {
+	for i, q := range c.queue {
+		if q.ID == id {
+			c.queue = append(c.queue[:i], c.queue[i+1:]...)
+			return
+		}
+	}
+	c.Ended(now, id, place.OutcomeCancelled)
+}
+
+// Started notes the first event of an answer: the prompt is read.
+func (c *Core) Started(now clock.Millis, id string) {
+	g := c.granted[id]
+	if g == nil || g.started {
+		return
+	}
+	g.started = true
+	if g.alone && g.fresh >= paceTokens {
+		c.learnPace(g, now)
+	}
+	g.server.read(now, g)
+	for _, p := range g.Parts {
+		c.hold(g.server, p, now)
+	}
+}
+
+// paceTokens is the least reading by which the pace is judged, and paceShare
+// how much one reading counts.
+const (
+	paceTokens = 2_000
+	paceShare  = 0.1
+	paceLeast  = 5.0
+	paceMost   = 1_000.0
+)
+
+func (c *Core) learnPace(g *granted, now clock.Millis) {
+	took := float64(now - g.at)
+	if took <= 0 {
+		return
+	}
+	seen := min(max(float64(g.fresh)/took, paceLeast), paceMost)
+	c.pace += paceShare * (seen - c.pace)
+}
+
+// Ended notes how a request ended at its server.
+func (c *Core) Ended(now clock.Millis, id string, o place.Outcome) {
+	g := c.granted[id]
+	if g == nil {
+		return
+	}
+	delete(c.granted, id)
+	s := g.server
+	if !g.started {
+		s.read(now, g)
+	}
+	s.end(g)
+	s.health.Note(now, o)
+	if o == place.OutcomeServed || (g.started && o == place.OutcomeCancelled) {
+		for _, p := range g.Parts {
+			c.hold(s, p, now)
+		}
+	}
+}
+
+// hold notes that a server has a part.
+func (c *Core) hold(s *server, p place.Part, now clock.Millis) {
+	if s.gone || p.Tokens <= 0 {
+		return
+	}
+	old, ok := s.parts[p.Name]
+	if !ok {
+		c.holders[p.Name]++
+		s.held += p.Tokens
+	}
+	s.parts[p.Name] = heldPart{tokens: max(p.Tokens, old.tokens), used: now}
+	if s.held > mostHeld {
+		c.evict(s)
+	}
+}
+
+// mostHeld bounds the tokens that a server is believed to hold, evictTo what is
+// left after the least recently used parts were dropped. The engines of the
+// users hold 550,000 and more, part of it for what runs.
+const (
+	mostHeld = 400_000
+	evictTo  = 360_000
+)
+
+func (c *Core) evict(s *server) {
+	names := make([]string, 0, len(s.parts))
+	for name := range s.parts {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := s.parts[names[i]], s.parts[names[j]]
+		if a.used != b.used {
+			return a.used < b.used
+		}
+		return names[i] < names[j]
+	})
+	for _, name := range names {
+		if s.held <= evictTo {
+			return
+		}
+		c.drop(s, name)
+	}
+}
+
+func (c *Core) drop(s *server, name string) {
+	s.held -= s.parts[name].tokens
+	delete(s.parts, name)
+	if c.holders[name]--; c.holders[name] <= 0 {
+		delete(c.holders, name)
+	}
+}
+
+// Held is what this host knows of a server, for a keeper that took over.
+type Held struct {
+	Server string
+	Parts  []place.Part
+}
+
+// Learn takes in what a host reports of parts that servers hold.
+func (c *Core) Learn(now clock.Millis, all []Held) {
+	for _, h := range all {
+		s := c.servers[h.Server]
+		if s == nil {
+			continue
+		}
+		for _, p := range h.Parts {
+			c.hold(s, p, now)
+		}
+	}
+}
+
+// Running takes in a request that an earlier keeper, or a host by itself, gave
+// to a server.
+func (c *Core) Running(now clock.Millis, a Ask, server string, started bool) {
+	s := c.servers[server]
+	if s == nil || c.granted[a.ID] != nil {
+		return
+	}
+	g := c.give(now, a, now+a.Left, s)
+	if started {
+		g.started = true
+		s.read(now, g)
+	}
+}
+
+// give books a request on a server.
+func (c *Core) give(now clock.Millis, a Ask, until clock.Millis, s *server) *granted {
+	fresh := s.fresh(a.Parts, a.Tokens)
+	g := &granted{Ask: a, server: s, at: now, until: until, fresh: fresh, read: c.readTime(a.Tokens, fresh)}
+	g.alone = len(s.unread) == 0
+	for _, other := range s.unread {
+		other.alone = false
+	}
+	s.add(now, g)
+	c.granted[a.ID] = g
+	return g
+}
+
+// readTime is how long a prompt takes to be read, in milliseconds: what is not
+// cached by the pace, and a little for each prompt.
+func (c *Core) readTime(_, fresh int) float64 {
+	return promptTime + float64(fresh)/c.pace
+}
+
+// promptTime is what each prompt costs beside its tokens, in milliseconds.
+const promptTime = 10
--- /dev/null
+++ b/internal/policy/grant/next.go
@@ -0,0 +1,283 @@
+package grant
+
+import (
+	"math"
+	"sort"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/place"
+)
+
+// class is what is known of the requests of one route.
+type class struct {
+	// tokens is the mean prompt length, work the reading in milliseconds a
+	// second, both with recent requests counting most.
+	tokens float64
+	count  int
+	work   float64
+	at     clock.Millis
+}
+
+const (
+	// meanShare is how much one request counts in a mean.
+	meanShare = 0.05
+	// workTime is over which time reading work is averaged, in milliseconds.
+	workTime = 5_000.0
+)
+
+func (c *Core) class(name string) *class {
+	if c.classes[name] == nil {
+		c.classes[name] = &class{}
+	}
+	return c.classes[name]
+}
+
+func (k *class) asked(_ clock.Millis, a Ask) {
+	k.count++
+	share := max(meanShare, 1/float64(k.count))
+	k.tokens += share * (float64(a.Tokens) - k.tokens)
+}
+
+func (k *class) fade(now clock.Millis) {
+	k.work *= math.Exp(-float64(now-k.at) / workTime)
+	k.at = now
+}
+
+// worked adds reading work of a request that was granted.
+func (k *class) worked(now clock.Millis, read float64) {
+	k.fade(now)
+	k.work += read
+}
+
+func (c *Core) short(k *class) bool { return k.tokens < c.settings.ShortTokens }
+
+// shortServers is how many servers the short classes get of n.
+func (c *Core) shortServers(now clock.Millis, n int) int {
+	short, long := 0.0, 0.0
+	for _, k := range c.classes {
+		k.fade(now)
+		if c.short(k) {
+			short += k.work
+		} else {
+			long += k.work
+		}
+	}
+	if n < 2 || short == 0 || long == 0 {
+		return 0
+	}
+	short *= c.settings.ShortWeight
+	return min(max(int(float64(n)*short/(short+long)+0.5), 1), n-1)
+}
+
+// Next decides on what waits. Requests for which no server is ready yet stay.
+func (c *Core) Next(now clock.Millis) []Decision {
+	decisions := c.ready
+	c.ready = nil
+	c.expire(now)
+	if len(c.queue) == 0 {
+		return decisions
+	}
+	c.sortQueue(now)
+	usable := c.usable(now)
+	shorts := c.shortServers(now, len(usable))
+	left := c.queue[:0]
+	for _, q := range c.queue {
+		d, ok := c.decide(now, q, usable, shorts)
+		if !ok {
+			left = append(left, q)
+			continue
+		}
+		d.ID, d.Host, d.Waited = q.ID, q.Host, now-q.at
+		decisions = append(decisions, d)
+	}
+	c.queue = left
+	return decisions
+}
+
+// Waiting is the number of requests that wait.
+func (c *Core) Waiting() int { return len(c.queue) }
+
+// sortQueue puts the more urgent tiers first, and within a tier those that can
+// still be on time, by the end of their time.
+func (c *Core) sortQueue(now clock.Millis) {
+	sort.SliceStable(c.queue, func(i, j int) bool {
+		a, b := c.queue[i], c.queue[j]
+		if a.Tier != b.Tier {
+			return a.Tier < b.Tier
+		}
+		if al, bl := now > a.at+a.Target, now > b.at+b.Target; al != bl {
+			return bl
+		}
+		return a.at+a.Target < b.at+b.Target
+	})
+}
+
+// usable returns the servers that may get something new, in the order of a hash
+// that a server's coming or going does not disturb.
+func (c *Core) usable(now clock.Millis) []*server {
+	var usable, sick []*server
+	for _, s := range c.order {
+		switch {
+		case s.Leaving:
+		case s.health.Avoided(now):
+			sick = append(sick, s)
+		default:
+			usable = append(usable, s)
+		}
+	}
+	if len(usable) == 0 {
+		usable = sick
+	}
+	sort.SliceStable(usable, func(i, j int) bool {
+		return place.Hash("", usable[i].ID) > place.Hash("", usable[j].ID)
+	})
+	return usable
+}
+
+// offer is what one server would be for a request.
+type offer struct {
+	server *server
+	cost   float64
+	// after is the time until the server should be handed the request.
+	after float64
+	fresh int
+	wait  *granted
+}
+
+// decide grants the cheapest server if it is ready for the request, refuses a
+// request that has run out of time, and otherwise leaves it waiting.
+func (c *Core) decide(now clock.Millis, q *asked, usable []*server, shorts int) (Decision, bool) {
+	if len(usable) == 0 {
+		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
+	}
+	best, ok := c.best(now, q, usable, shorts)
+	if !ok {
+		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
+	}
+	ready := best.after + c.readTime(q.Tokens, best.fresh)
+	if now+clock.Millis(ready)+c.settings.LeastTail > q.until {
+		return Decision{Reason: "OutOfTime", RetryAfter: clock.Millis(best.after)}, true
+	}
+	if best.wait != nil || best.after > float64(c.settings.Ahead) {
+		return Decision{}, false
+	}
+	g := c.give(now, q.Ask, q.until, best.server)
+	c.class(q.Class).worked(now, g.read)
+	return Decision{Server: best.server.ID, Reason: reason(best), Unread: clock.Millis(best.after)}, true
+}
+
+// noServerWait is about the time until a restarted server's record is back, in
+// milliseconds.
+const noServerWait = 500 * clock.Millis(1)
+
+func reason(o offer) string {
+	if o.fresh < comingTokens {
+		return "Cached"
+	}
+	return "LeastUnread"
+}
+
+func (c *Core) best(now clock.Millis, q *asked, usable []*server, shorts int) (offer, bool) {
+	var best offer
+	found := false
+	short := c.short(c.class(q.Class))
+	for i, s := range usable {
+		if contains(q.Avoid, s.ID) || (s.Slots > 0 && s.running >= s.Slots) {
+			continue
+		}
+		o := c.offer(now, q, s)
+		if shorts > 0 && short != (i < shorts) {
+			o.cost += c.settings.OtherGroup
+		}
+		if !found || o.cost < best.cost {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// offer works out what a server costs a request: the time until its first
+// event, and what reading a part again takes from the others.
+func (c *Core) offer(now clock.Millis, q *asked, s *server) offer {
+	o := offer{server: s, after: s.backlog(now), fresh: s.fresh(q.Parts, q.Tokens)}
+	if g := s.coming(q.Parts); g != nil {
+		o.wait = g
+		o.fresh = freshAfter(q, g, s)
+	}
+	o.cost = o.after + c.readTime(q.Tokens, o.fresh) + c.settings.PerRunning*float64(s.running)
+	o.cost += c.settings.Again * float64(c.heldElsewhere(q, s, o)) / c.pace
+	return o
+}
+
+// freshAfter is what is left to read of a request's prompt once another one's
+// is read.
+func freshAfter(q *asked, g *granted, s *server) int {
+	tokens := q.Tokens
+	for _, p := range q.Parts {
+		_, held := s.parts[p.Name]
+		for _, other := range g.Parts {
+			held = held || other.Name == p.Name
+		}
+		if !held {
+			break
+		}
+		tokens -= p.Tokens
+	}
+	return max(tokens, 1)
+}
+
+// heldElsewhere is how many tokens the server would read that another one
+// holds or is about to hold.
+func (c *Core) heldElsewhere(q *asked, s *server, o offer) int {
+	if o.wait != nil {
+		return 0
+	}
+	again := 0
+	for i, p := range q.Parts {
+		if i == len(q.Parts)-1 {
+			break
+		}
+		if _, ok := s.parts[p.Name]; !ok && (c.holders[p.Name] > 0 || c.beingRead(p.Name, s)) {
+			again += p.Tokens
+		}
+	}
+	return again
+}
+
+func (c *Core) beingRead(name string, except *server) bool {
+	for _, s := range c.order {
+		if s == except {
+			continue
+		}
+		for _, g := range s.unread {
+			for _, p := range g.Parts[:max(len(g.Parts)-1, 0)] {
+				if p.Name == name {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// expire ends what its host never said the end of.
+func (c *Core) expire(now clock.Millis) {
+	for id, g := range c.granted {
+		if now > g.until+grantSlack {
+			c.Ended(now, id, place.OutcomeCancelled)
+		}
+	}
+}
+
+// grantSlack is how long after its time a request may still be told to have
+// ended, in milliseconds.
+const grantSlack = 500 * clock.Millis(1)
+
+func contains(list []string, id string) bool {
+	for _, l := range list {
+		if l == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -10,15 +10,16 @@
 	lastAvoid  = 4_000 * clock.Millis(1)
 )
 
-// health keeps a server that fails from getting everything: a dead or grey
+// Health keeps a server that fails from getting everything: a dead or grey
 // server answers faster than a busy one. After each avoided time one request
 // may find out whether the server is back.
-type health struct {
+type Health struct {
 	until clock.Millis
 	pause clock.Millis
 }
 
-func (h *health) avoided(now clock.Millis) bool { return now < h.until }
+// Avoided tells whether the server gets nothing new for now.
+func (h *Health) Avoided(now clock.Millis) bool { return now < h.until }
 
 // failing tells which outcomes speak against a server, and how much.
 var failing = map[Outcome]bool{
@@ -28,7 +29,8 @@
 	OutcomeMoved:       true,
 }
 
-func (h *health) note(now clock.Millis, o Outcome) {
+// Note takes in how a request ended.
+func (h *Health) Note(now clock.Millis, o Outcome) {
 	switch {
 	case o == OutcomeServed:
 		h.pause, h.until = 0, 0
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -104,7 +104,7 @@
 type state struct {
 	open   int
 	unread int
-	health health
+	health Health
 }
 
 // New returns a Placer without servers.
@@ -146,7 +146,7 @@
 	for _, s := range p.servers[j.Service] {
 		switch {
 		case contains(j.Avoid, s.ID):
-		case p.state(s).health.avoided(now):
+		case p.state(s).health.Avoided(now):
 			sick = append(sick, s)
 		default:
 			usable = append(usable, s)
@@ -227,7 +227,7 @@
 	}
 	all := make([]scored, 0, len(among))
 	for _, s := range among {
-		all = append(all, scored{s, hash(name, s.ID)})
+		all = append(all, scored{s, Hash(name, s.ID)})
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].score > all[j].score })
 	ranked := make([]fleet.Server, 0, len(all))
@@ -243,8 +243,8 @@
 	mix       = 0x9E3779B97F4A7C15
 )
 
-// hash is FNV-1a with a final mix, since ranks compare the high bits.
-func hash(a, b string) uint64 {
+// Hash is FNV-1a with a final mix, since ranks compare the high bits.
+func Hash(a, b string) uint64 {
 	h := uint64(fnvOffset)
 	for i := range len(a) {
 		h = (h ^ uint64(a[i])) * fnvPrime
@@ -278,5 +278,5 @@
 	st := p.state(s)
 	st.open--
 	st.unread -= j.Tokens
-	st.health.note(now, o)
+	st.health.Note(now, o)
 }
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -92,7 +92,8 @@
 type Workspace struct {
 	Name string
 	Keys []string
-	// Tier goes before the route's where HasTier is set, 0 the most urgent.
+	// Tier is compared before the route's where HasTier is set, 0 the most
+	// urgent.
 	Tier    int
 	HasTier bool
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -47,9 +47,10 @@
 // The steps of a stop, in milliseconds after its begin.
 const (
 	// noticeTime is the balancer's two misses at one a second, and a margin.
-	noticeTime = 2_200 * clock.Millis(1)
-	// idleTime is when kept connections without a request are closed.
-	idleTime = 3_500 * clock.Millis(1)
+	noticeTime = 1_800 * clock.Millis(1)
+	// idleTime is when no further request is taken: a longer one that began
+	// later than 3 s after SIGTERM could not be finished.
+	idleTime = 2_800 * clock.Millis(1)
 	// stopMargin is kept before the end of StopTime.
 	stopMargin = 400 * clock.Millis(1)
 	// stopPeriod is the time between two looks at what is still open.
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -184,6 +184,10 @@
 	return j, nil
 }
 
+// tiersOfRoutes is how many tiers of routes are told apart within one of a
+// workspace: the users' sheets have three, and servers know ten ranks.
+const tiersOfRoutes = 3
+
 // authenticate checks the key of a request. A host that cannot confirm its
 // manifest does not know which keys were withdrawn meanwhile.
 func (p *Pass) authenticate(j *job, m *route.Manifest, confirmed bool) *refuse.Refusal {
@@ -199,7 +203,7 @@
 	}
 	j.workspace = w.Name
 	if w.HasTier {
-		j.tier = w.Tier
+		j.tier = w.Tier*tiersOfRoutes + min(j.route.Tier, tiersOfRoutes-1)
 	}
 	return nil
 }
