A keeper for each engine service decides which prompt runs where and when

Change: policy/grant (pure): a shared part is read once, uncached parts go where least is unread, prompts wait at the keeper, short classes get their own engines by their share of the reading. share/clerk finds the keeper by hash, falls back to the next and then to this host alone; share/crew keeps hosts' addresses in one table. Ruled out: the old keepers of groups (share/keep): eight servers each, slots instead of unread tokens, a heartbeat for every pair of hosts. Next: what fails under cuts.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -221,11 +221,12 @@
 		return
 	}
 	g.started = true
+	g.server.signFrom, g.server.signAt = g.Host, now
 	if g.alone && g.fresh >= paceTokens {
 		c.learnPace(g, now)
 	}
 	g.server.read(now, g)
-	for _, p := range g.Parts {
+	for _, p := range place.Shared(g.Parts) {
 		c.hold(g.server, p, now)
 	}
 }
@@ -259,15 +260,29 @@
 	if !g.started {
 		s.read(now, g)
 	}
-	s.end(g)
-	s.health.Note(now, o)
+	s.end()
+	c.judge(now, g, o)
 	if o == place.OutcomeServed || (g.started && o == place.OutcomeCancelled) {
-		for _, p := range g.Parts {
+		for _, p := range place.Shared(g.Parts) {
 			c.hold(s, p, now)
 		}
 	}
 }
 
+// judge notes what an outcome says of the server. A failure that one host met
+// while the server served others meanwhile speaks of the way between the two;
+// that host knows it by itself.
+func (c *Core) judge(now clock.Millis, g *granted, o place.Outcome) {
+	s := g.server
+	if o == place.OutcomeServed {
+		s.signFrom, s.signAt = g.Host, now
+	}
+	if s.signAt > g.at && s.signFrom != g.Host {
+		return
+	}
+	s.health.Note(now, o)
+}
+
 // hold notes that a server has a part.
 func (c *Core) hold(s *server, p place.Part, now clock.Millis) {
 	if s.gone || p.Tokens <= 0 {
@@ -326,6 +341,20 @@
 	Parts  []place.Part
 }
 
+// Held returns which parts the servers are believed to hold.
+func (c *Core) Held() []Held {
+	var all []Held
+	for _, s := range c.order {
+		h := Held{Server: s.ID}
+		for name, p := range s.parts {
+			h.Parts = append(h.Parts, place.Part{Name: name, Tokens: p.tokens})
+		}
+		sort.Slice(h.Parts, func(i, j int) bool { return h.Parts[i].Name < h.Parts[j].Name })
+		all = append(all, h)
+	}
+	return all
+}
+
 // Learn takes in what a host reports of parts that servers hold.
 func (c *Core) Learn(now clock.Millis, all []Held) {
 	for _, h := range all {
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -233,10 +233,7 @@
 		return 0
 	}
 	again := 0
-	for i, p := range q.Parts {
-		if i == len(q.Parts)-1 {
-			break
-		}
+	for _, p := range place.Shared(q.Parts) {
 		if _, ok := s.parts[p.Name]; !ok && (c.holders[p.Name] > 0 || c.beingRead(p.Name, s)) {
 			again += p.Tokens
 		}
@@ -250,7 +247,7 @@
 			continue
 		}
 		for _, g := range s.unread {
-			for _, p := range g.Parts[:max(len(g.Parts)-1, 0)] {
+			for _, p := range place.Shared(g.Parts) {
 				if p.Name == name {
 					return true
 				}
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -19,6 +19,10 @@
 	held   int
 	health place.Health
 	gone   bool
+	// signFrom and signAt are the last host that got an event from the server,
+	// and when.
+	signFrom string
+	signAt   clock.Millis
 }
 
 // heldPart is a part of prompts in a server's cache.
@@ -55,7 +59,7 @@
 			continue
 		}
 		for _, g := range s.unread {
-			for _, q := range g.Parts[:max(len(g.Parts)-1, 0)] {
+			for _, q := range place.Shared(g.Parts) {
 				if q.Name == p.Name {
 					return g
 				}
@@ -85,7 +89,7 @@
 	}
 }
 
-func (s *server) end(_ *granted) { s.running-- }
+func (s *server) end() { s.running-- }
 
 // The slack in judging a server's reading: it is overdue after lateTimes the
 // expected time and lateSlack milliseconds.
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -44,6 +44,8 @@
 	Draw float64
 	// Avoid are servers that were tried.
 	Avoid []string
+	// Prefer is the server that is known to hold the shared part, "" for none.
+	Prefer string
 }
 
 // Settings are the weights of the decisions.
@@ -184,6 +186,12 @@
 	group := p.group(among, j.Tokens < p.settings.ShortTokens)
 	name := sharedPart(j.Parts)
 	ranked := rank(group, name)
+	for i, s := range ranked {
+		if s.ID == j.Prefer {
+			copy(ranked[1:i+1], ranked[:i])
+			ranked[0] = s
+		}
+	}
 	best, reason := ranked[0], "Prefix"
 	if len(ranked) > 1 && p.crowded(ranked[0], ranked[1]) {
 		best, reason = ranked[1], "PrefixSecond"
@@ -210,6 +218,9 @@
 	return ranked[cut:]
 }
 
+// Shared returns the parts that other requests may share: all but the last.
+func Shared(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
+
 // sharedPart names the last part that other requests share.
 func sharedPart(parts []Part) string {
 	if len(parts) > 1 {
@@ -267,6 +278,30 @@
 	return false
 }
 
+// Sick returns the servers of a service that this host avoids for now.
+func (p *Placer) Sick(now clock.Millis, service string) []string {
+	var ids []string
+	for _, s := range p.servers[service] {
+		if p.state(s).health.Avoided(now) {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// Server returns a server by its ID.
+func (p *Placer) Server(service, id string) (fleet.Server, bool) {
+	for _, s := range p.servers[service] {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return fleet.Server{}, false
+}
+
+// Open is what this host has open at a server.
+func (p *Placer) Open(s fleet.Server) int { return p.state(s).open }
+
 // Sent notes that a request is on its way to a server.
 func (p *Placer) Sent(s fleet.Server, j Job) {
 	p.state(s).open++
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -62,9 +62,11 @@
 	Settings Settings
 	News     *news.News
 	Pass     *pass.Pass
-	Clock    clock.Clock
-	Log      *log.Logger
-	Count    *count.Set
+	// Crew is nil for a host that knows no others.
+	Crew  *Crew
+	Clock clock.Clock
+	Log   *log.Logger
+	Count *count.Set
 
 	inlet    *inlet.Inlet
 	ready    *fasthttp.Server
@@ -75,6 +77,10 @@
 // Start listens and begins to follow the news, until the context ends.
 func (g *Gate) Start(ctx context.Context) error {
 	g.Pass.Run()
+	if g.Crew != nil {
+		g.Crew.Clerk.Register()
+		go g.Crew.run(ctx, g.Log)
+	}
 	g.News.Changed = func(v news.View) { g.Pass.SetServers(v.Servers) }
 	g.inlet = &inlet.Inlet{
 		Address: g.Settings.CallerAddress,
--- a/internal/serve/pass/attempt.go
+++ b/internal/serve/pass/attempt.go
@@ -34,6 +34,10 @@
 	p.mu.Lock()
 	p.Placer.Ended(p.Clock.Now(), choice.Server, j.place, r.outcome)
 	p.mu.Unlock()
+	if j.grant != "" {
+		p.Clerk.Ended(j.grant, r.outcome)
+		j.grant = ""
+	}
 	return r
 }
 
--- a/internal/serve/pass/job.go
+++ b/internal/serve/pass/job.go
@@ -48,7 +48,13 @@
 	begun     bool
 	lastEvent string
 	firstAt   clock.Millis
-	server    string
+	// grant is the ask that a keeper granted for the attempt, "" for none.
+	grant  string
+	asks   int
+	reason string
+	waited clock.Millis
+	unread clock.Millis
+	server string
 }
 
 // whole is a complete answer of a server.
@@ -72,9 +78,13 @@
 // run makes attempts until the caller has an answer.
 func (j *job) run(ctx context.Context) {
 	for {
-		choice, ok := j.choose()
-		if !ok {
-			j.giveUp("NoServer", refuse.New(refuse.ReasonNoServer).WithRetryAfter(noServerWait))
+		choice, refusal := j.choose(ctx)
+		if j.caller.Err() != nil {
+			j.end("CallerGone", "Waiting")
+			return
+		}
+		if refusal != nil {
+			j.giveUp(string(refusal.Reason), refusal)
 			return
 		}
 		r := j.attempt(ctx, choice)
@@ -95,12 +105,6 @@
 	}
 }
 
-func (j *job) choose() (place.Choice, bool) {
-	j.pass.mu.Lock()
-	defer j.pass.mu.Unlock()
-	return j.pass.Placer.Choose(j.pass.Clock.Now(), j.place)
-}
-
 // again decides what follows a failed attempt, and tells the caller unless it
 // is another attempt.
 func (j *job) again(r result) bool {
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -45,6 +45,7 @@
 	"siskinsaddle/internal/serve/inlet"
 	"siskinsaddle/internal/serve/refuse"
 	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/clerk"
 	"siskinsaddle/internal/share/news"
 )
 
@@ -95,6 +96,8 @@
 	Repeats *retry.Window
 	// Hosts is the number of live hosts.
 	Hosts func() int
+	// Clerk asks the keepers of engines; nil where this host decides alone.
+	Clerk *clerk.Clerk
 	Log   *log.Logger
 	Count *count.Set
 
@@ -120,6 +123,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Placer.SetServers(all)
+	if p.Clerk != nil {
+		p.Clerk.SetServers(all)
+	}
 }
 
 // Handle answers one request. It is an inlet's Handle.
--- a/internal/serve/pass/stream.go
+++ b/internal/serve/pass/stream.go
@@ -109,6 +109,9 @@
 			j.lastEvent = id
 		}
 	}
+	if j.grant != "" {
+		j.pass.Clerk.Started(j.grant)
+	}
 	if j.begun {
 		j.answer.Piece(events)
 		return
--- /dev/null
+++ b/internal/share/clerk/clerk.go
@@ -0,0 +1,330 @@
+// Package clerk brings requests for model engines to the host that decides for
+// their service, the keeper, and keeps that decision going when hosts fail.
+//
+// The keeper of a service is the first host by a hash of both names among those
+// that can be reached; hosts that see the same hosts agree on it without a
+// word. A keeper that cannot be reached, or is silent, is passed over at once
+// and tried again in the background. Two keepers at a time do no harm but to
+// the quality of their decisions, since a server itself refuses what it cannot
+// take. A host that reaches no keeper is told so and decides alone.
+//
+// A host reports to a keeper that is new to it what it has at servers and where
+// it saw parts of prompts read.
+//
+// # Usage
+//
+//	c := &clerk.Clerk{Self: "host-1", Members: crew.Members, Link: node, Clock: clk, Log: l}
+//	c.Register()            // before the link runs
+//	c.SetServers(servers)   // on each change
+//	d, err := c.Ask(ctx, "canvas-llm", ask)
+//	c.Started("canvas-llm", ask.ID)
+//	c.Ended("canvas-llm", ask.ID, place.OutcomeServed)
+package clerk
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/grant"
+	"siskinsaddle/internal/policy/place"
+	"siskinsaddle/internal/share/crew"
+	"siskinsaddle/internal/share/link"
+)
+
+// ErrNoKeeper tells that no keeper could be reached.
+var ErrNoKeeper = errors.New("no host that decides for the service can be reached")
+
+const (
+	// maxKeepers bounds the hosts that one request asks in turn.
+	maxKeepers = 2
+	// firstRest and lastRest are how long a silent keeper is passed over before
+	// it is tried again in the background, in milliseconds.
+	firstRest = 500 * clock.Millis(1)
+	lastRest  = 4_000 * clock.Millis(1)
+	// coresShare is the share of the strongest host's processor that a keeper
+	// must have.
+	coresShare = 0.7
+)
+
+// Clerk is this host's end. Its fields are set before Register.
+type Clerk struct {
+	Self    string
+	Members func() []crew.Member
+	Link    *link.Node
+	Clock   clock.Clock
+	Log     *log.Logger
+	// Settings are those of the decisions.
+	Settings grant.Settings
+
+	mu       sync.Mutex
+	desks    map[string]*desk
+	servers  []fleet.Server
+	resting  map[string]rest
+	reported map[string]bool
+	running  map[string]*running
+	seen     seen
+}
+
+// rest is a keeper that is passed over.
+type rest struct {
+	until clock.Millis
+	pause clock.Millis
+}
+
+// running is a request of this host at a server.
+type running struct {
+	service string
+	keeper  string
+	ask     grant.Ask
+	server  string
+	started bool
+	until   clock.Millis
+}
+
+// Register takes the messages of other hosts. It is called before the link
+// runs.
+func (c *Clerk) Register() {
+	c.desks = map[string]*desk{}
+	c.resting = map[string]rest{}
+	c.reported = map[string]bool{}
+	c.running = map[string]*running{}
+	c.seen = newSeen()
+	if c.Link == nil {
+		return
+	}
+	c.Link.Connected = c.connected
+	c.Link.Handle(kindAsk, c.handleAsk)
+	c.Link.Handle(kindNote, c.handleNote)
+	c.Link.Handle(kindReport, c.handleReport)
+}
+
+// SetServers takes in a new list of servers.
+func (c *Clerk) SetServers(all []fleet.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = all
+	for _, d := range c.desks {
+		d.setServers(all)
+	}
+}
+
+// connected hears of a new connection: what its end knows of this host is gone.
+func (c *Clerk) connected(p link.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.resting, p.Name)
+	for key := range c.reported {
+		if key == p.Name || len(key) > len(p.Name) && key[:len(p.Name)+1] == p.Name+"/" {
+			delete(c.reported, key)
+		}
+	}
+}
+
+// keepers returns the hosts that may decide for a service, best first.
+func (c *Clerk) keepers(service string) []string {
+	members := c.Members()
+	most := 0.0
+	for _, m := range members {
+		most = max(most, m.Cores)
+	}
+	var names []string
+	for _, m := range members {
+		if m.Cores >= coresShare*most {
+			names = append(names, m.Name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		return place.Hash(service, names[i]) > place.Hash(service, names[j])
+	})
+	now := c.Clock.Now()
+	up := names[:0]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range names {
+		r, ok := c.resting[n]
+		if !ok {
+			up = append(up, n)
+			continue
+		}
+		if now >= r.until {
+			c.resting[n] = rest{until: now + max(r.pause, lastRest), pause: r.pause}
+			go c.probe(n, r)
+		}
+	}
+	return up[:min(len(up), maxKeepers)]
+}
+
+// probe looks whether a silent keeper is back.
+func (c *Clerk) probe(name string, r rest) {
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
+	defer cancel()
+	_, evidence := c.Link.Probe(ctx, name)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if evidence == link.EvidenceReached {
+		delete(c.resting, name)
+		return
+	}
+	pause := min(2*r.pause, lastRest)
+	c.resting[name] = rest{until: c.Clock.Now() + pause, pause: pause}
+}
+
+// Ask returns the keeper's decision. It waits as long as the keeper holds the
+// request back.
+func (c *Clerk) Ask(ctx context.Context, service string, a grant.Ask) (grant.Decision, error) {
+	a.Host = c.Self
+	began := c.Clock.Now()
+	for _, keeper := range c.keepers(service) {
+		a.Left -= c.Clock.Now() - began
+		began = c.Clock.Now()
+		d, err := c.askOne(ctx, keeper, service, a)
+		if err == nil {
+			c.granted(service, keeper, a, d)
+			return d, nil
+		}
+		if ctx.Err() != nil {
+			c.note(service, keeper, a.ID, noteEnded, place.OutcomeCancelled)
+			return grant.Decision{}, ctx.Err()
+		}
+		c.Log.Warn("The keeper of a service cannot be asked.", "keeper", keeper, "service", service, "id", a.ID, "err", err)
+		c.mu.Lock()
+		c.resting[keeper] = rest{until: c.Clock.Now() + firstRest, pause: firstRest}
+		c.mu.Unlock()
+	}
+	return grant.Decision{}, ErrNoKeeper
+}
+
+func (c *Clerk) askOne(ctx context.Context, keeper, service string, a grant.Ask) (grant.Decision, error) {
+	if keeper == c.Self {
+		return c.desk(service).ask(ctx, a)
+	}
+	c.report(keeper, service)
+	var d grant.Decision
+	err := c.Link.Call(ctx, keeper, kindAsk, askMessage{Service: service, Ask: a}, &d)
+	return d, err
+}
+
+// granted remembers where a request went.
+func (c *Clerk) granted(service, keeper string, a grant.Ask, d grant.Decision) {
+	if d.Server == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[a.ID] = &running{service: service, keeper: keeper, ask: a, server: d.Server, until: c.Clock.Now() + a.Left}
+}
+
+// Started tells the keeper that the answer began.
+func (c *Clerk) Started(id string) {
+	c.mu.Lock()
+	r := c.running[id]
+	if r == nil || r.started {
+		c.mu.Unlock()
+		return
+	}
+	r.started = true
+	c.seen.add(r.service, r.server, r.ask.Parts)
+	c.mu.Unlock()
+	c.note(r.service, r.keeper, id, noteStarted, "")
+}
+
+// Ended tells the keeper how a request ended.
+func (c *Clerk) Ended(id string, o place.Outcome) {
+	c.mu.Lock()
+	r := c.running[id]
+	delete(c.running, id)
+	c.mu.Unlock()
+	if r != nil {
+		c.note(r.service, r.keeper, id, noteEnded, o)
+	}
+}
+
+// Holder returns the server at which this host last saw a part of a prompt
+// read, "" where it saw none.
+func (c *Clerk) Holder(service, part string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen.holder(service, part)
+}
+
+func (c *Clerk) note(service, keeper, id string, kind noteKind, o place.Outcome) {
+	n := noteMessage{Service: service, ID: id, Kind: kind, Outcome: o}
+	if keeper == c.Self {
+		c.desk(service).note(n)
+		return
+	}
+	if err := c.Link.Send(keeper, kindNote, n); err != nil {
+		c.Log.Debug("A keeper did not hear of a request.", "keeper", keeper, "id", id, "err", err)
+	}
+}
+
+// report tells a keeper what it cannot know, once for each connection.
+func (c *Clerk) report(keeper, service string) {
+	c.mu.Lock()
+	key := keeper + "/" + service
+	if c.reported[key] {
+		c.mu.Unlock()
+		return
+	}
+	c.reported[key] = true
+	now := c.Clock.Now()
+	m := reportMessage{Service: service, Held: c.seen.all(service)}
+	for _, r := range c.running {
+		if r.service == service {
+			m.Running = append(m.Running, runningRequest{Ask: r.ask, Server: r.server, Started: r.started, Left: r.until - now})
+			r.keeper = keeper
+		}
+	}
+	c.mu.Unlock()
+	if err := c.Link.Send(keeper, kindReport, m); err != nil {
+		c.Log.Debug("A keeper could not be told what this host has.", "keeper", keeper, "err", err)
+	}
+}
+
+func (c *Clerk) desk(service string) *desk {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.desks[service]
+	if d == nil {
+		d = newDesk(service, c.Settings, c.Clock, c.Log)
+		d.setServers(c.servers)
+		c.desks[service] = d
+	}
+	return d
+}
+
+func (c *Clerk) handleAsk(ctx context.Context, from link.Peer, body []byte) (any, error) {
+	var m askMessage
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	m.Ask.Host = from.Name
+	return c.desk(m.Service).ask(ctx, m.Ask)
+}
+
+func (c *Clerk) handleNote(_ context.Context, _ link.Peer, body []byte) (any, error) {
+	var m noteMessage
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	c.desk(m.Service).note(m)
+	return nil, nil
+}
+
+func (c *Clerk) handleReport(_ context.Context, from link.Peer, body []byte) (any, error) {
+	var m reportMessage
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	for i := range m.Running {
+		m.Running[i].Ask.Host = from.Name
+	}
+	c.desk(m.Service).report(m)
+	return nil, nil
+}
--- /dev/null
+++ b/internal/share/clerk/desk.go
@@ -0,0 +1,165 @@
+package clerk
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/grant"
+	"siskinsaddle/internal/policy/place"
+)
+
+const (
+	// deskPeriod is how often a desk decides while requests wait, in
+	// milliseconds: what is left to read shrinks meanwhile.
+	deskPeriod = 20 * clock.Millis(1)
+	// standstill is the gap between two looks after which a desk takes it that
+	// its host stood still, in milliseconds. What waited has gone elsewhere.
+	standstill = 700 * clock.Millis(1)
+)
+
+// errForgotten ends the asks of a desk that stood still.
+var errForgotten = errors.New("the keeper stood still and has forgotten the request")
+
+// desk decides for one service while this host is its keeper.
+type desk struct {
+	service  string
+	settings grant.Settings
+	clock    clock.Clock
+	log      *log.Logger
+
+	mu      sync.Mutex
+	core    *grant.Core
+	servers []fleet.Server
+	waiting map[string]chan grant.Decision
+	ticking bool
+	looked  clock.Millis
+}
+
+func newDesk(service string, s grant.Settings, c clock.Clock, l *log.Logger) *desk {
+	return &desk{
+		service:  service,
+		settings: s,
+		clock:    c,
+		log:      l.With("service", service),
+		core:     grant.New(s),
+		waiting:  map[string]chan grant.Decision{},
+	}
+}
+
+func (d *desk) setServers(all []fleet.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.servers = nil
+	for _, s := range all {
+		if s.Service == d.service {
+			d.servers = append(d.servers, s)
+		}
+	}
+	d.core.SetServers(d.servers)
+	d.decide()
+}
+
+// ask waits for a decision.
+func (d *desk) ask(ctx context.Context, a grant.Ask) (grant.Decision, error) {
+	decided := make(chan grant.Decision, 1)
+	d.mu.Lock()
+	d.waiting[a.ID] = decided
+	d.core.Ask(d.clock.Now(), a)
+	d.decide()
+	d.mu.Unlock()
+	select {
+	case got, ok := <-decided:
+		if !ok {
+			return grant.Decision{}, errForgotten
+		}
+		return got, nil
+	case <-ctx.Done():
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waiting, a.ID)
+		d.core.Cancel(d.clock.Now(), a.ID)
+		d.decide()
+		return grant.Decision{}, ctx.Err()
+	}
+}
+
+func (d *desk) note(n noteMessage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	switch {
+	case n.Kind == noteStarted:
+		d.core.Started(now, n.ID)
+	case n.Outcome == place.OutcomeCancelled:
+		delete(d.waiting, n.ID)
+		d.core.Cancel(now, n.ID)
+	default:
+		d.core.Ended(now, n.ID, n.Outcome)
+	}
+	d.decide()
+}
+
+func (d *desk) report(m reportMessage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.core.Learn(now, m.Held)
+	for _, r := range m.Running {
+		r.Ask.Left = r.Left
+		d.core.Running(now, r.Ask, r.Server, r.Started)
+	}
+	d.decide()
+}
+
+// decide hands out what is ready. The lock is held.
+func (d *desk) decide() {
+	now := d.clock.Boot()
+	if d.ticking && now-d.looked > standstill {
+		d.forget(now - d.looked)
+	}
+	d.looked = now
+	for _, got := range d.core.Next(d.clock.Now()) {
+		if decided, ok := d.waiting[got.ID]; ok {
+			delete(d.waiting, got.ID)
+			decided <- got
+		}
+	}
+	if d.core.Waiting() > 0 && !d.ticking {
+		d.ticking = true
+		go d.tick()
+	}
+}
+
+// forget begins anew after a standstill: what was granted may be over, and what
+// waited was taken elsewhere. The hosts report again.
+func (d *desk) forget(gap clock.Millis) {
+	d.log.Warn("This keeper stood still and begins anew.", "gap", gap, "waiting", len(d.waiting))
+	for id, decided := range d.waiting {
+		close(decided)
+		delete(d.waiting, id)
+	}
+	held := d.core.Held()
+	d.core = grant.New(d.settings)
+	d.core.SetServers(d.servers)
+	d.core.Learn(d.clock.Now(), held)
+}
+
+// tick decides again and again while requests wait.
+func (d *desk) tick() {
+	for {
+		<-d.clock.After(deskPeriod)
+		d.mu.Lock()
+		d.decide()
+		if d.core.Waiting() == 0 {
+			d.ticking = false
+			d.mu.Unlock()
+			return
+		}
+		d.mu.Unlock()
+	}
+}
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,11 +14,15 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/serve/gate"
 	"siskinsaddle/internal/serve/pass"
 	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/clerk"
+	"siskinsaddle/internal/share/crew"
+	"siskinsaddle/internal/share/link"
 	"siskinsaddle/internal/share/news"
 	"siskinsaddle/platform"
 )
@@ -53,6 +58,13 @@
 	keyMargin = 1_400 * clock.Millis(1)
 	// readyMargin takes a host out of the balancer before it has to refuse.
 	readyMargin = 400 * clock.Millis(1)
+	// peerDialTimeout and peerSilence bound how long a request waits for a
+	// keeper that is gone, in milliseconds: some fifty ways between failure
+	// domains.
+	peerDialTimeout = 100 * clock.Millis(1)
+	peerSilence     = 100 * clock.Millis(1)
+	// hostsTable is the table of the store in which hosts find one another.
+	hostsTable = "hosts"
 	// dialTimeout is a hundred times a connection's making between failure
 	// domains, in milliseconds.
 	dialTimeout = 300 * clock.Millis(1)
@@ -81,6 +93,28 @@
 func newGate(s platform.Settings, l *log.Logger) *gate.Gate {
 	c := clock.System()
 	counters := count.NewSet()
+	p, n := newPass(s, c, l, counters)
+	others := newCrew(s, c, l, counters)
+	p.Clerk = others.Clerk
+	p.Hosts = others.Count
+	return &gate.Gate{
+		Settings: gate.Settings{
+			CallerAddress: s.CallerAddress,
+			ReadyAddress:  s.ReadyAddress,
+			StopTime:      s.Bounds.Stop,
+			ReadyAge:      s.Bounds.Revoke - keyMargin - readyMargin,
+		},
+		News:  n,
+		Pass:  p,
+		Crew:  others,
+		Clock: c,
+		Log:   l,
+		Count: counters,
+	}
+}
+
+// newPass makes what follows the manifest and what forwards by it.
+func newPass(s platform.Settings, c clock.Clock, l *log.Logger, counters *count.Set) (*pass.Pass, *news.News) {
 	n := &news.News{
 		Store: platform.NewStore(s.StoreAddress),
 		Clock: c,
@@ -100,27 +134,48 @@
 		Client:  &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: pauseTimeout},
 		Placer:  place.New(place.Defaults()),
 		Repeats: retry.NewWindow(s.Bounds.RepeatRatio, s.Bounds.RepeatSlack, s.Bounds.RepeatWindow),
-		Hosts:   func() int { return assumedHosts },
 		Log:     l.WithPrefix("pass"),
 		Count:   counters,
 	}
 	if s.Bounds.RevokeStrict {
 		p.KeyAge = s.Bounds.Revoke - keyMargin
 	}
-	return &gate.Gate{
-		Settings: gate.Settings{
-			CallerAddress: s.CallerAddress,
-			ReadyAddress:  s.ReadyAddress,
-			StopTime:      s.Bounds.Stop,
-			ReadyAge:      s.Bounds.Revoke - keyMargin - readyMargin,
+	return p, n
+}
+
+// newCrew makes what finds the other hosts and speaks with them.
+func newCrew(s platform.Settings, c clock.Clock, l *log.Logger, counters *count.Set) *gate.Crew {
+	g := &gate.Crew{
+		Crew: &crew.Crew{
+			Store: platform.NewStore(s.StoreAddress),
+			Table: hostsTable,
+			Self: crew.Member{
+				Name:          s.HostName,
+				Address:       fmt.Sprintf("%s:%d", s.IP, s.PeerPort),
+				FailureDomain: s.FailureDomain,
+				Cores:         s.Cores,
+			},
+			Clock: c,
+			Log:   l.WithPrefix("crew"),
 		},
-		News:  n,
-		Pass:  p,
-		Clock: c,
-		Log:   l,
-		Count: counters,
+		Link: &link.Node{
+			Name:        s.HostName,
+			Listen:      fmt.Sprintf("%s:%d", s.IP, s.PeerPort),
+			Clock:       c,
+			Log:         l.WithPrefix("link"),
+			Counters:    counters,
+			DialWait:    peerDialTimeout,
+			SilenceWait: peerSilence,
+		},
+	}
+	g.Link.Address = g.Crew.Address
+	g.Clerk = &clerk.Clerk{
+		Self:     s.HostName,
+		Members:  g.Members,
+		Link:     g.Link,
+		Clock:    c,
+		Log:      l.WithPrefix("clerk"),
+		Settings: grant.Defaults(),
 	}
+	return g
 }
-
-// assumedHosts shares the slack of repeats until hosts know of one another.
-const assumedHosts = 12
