Reads confirm the manifest; a record that vanishes right after an outage is doubted 1.2 s

Cause: a watch confirmed the manifest only as of the last 1.5 s and could miss changes for a second, so that keyed requests were refused 2.2 s after a cut. Ruled out: trusting the watch with the store's clock; silent watches lie.

--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	f := fleet.New(2 * clock.Second)
+//	f := fleet.New(2*clock.Second, 1*clock.Second)
 //	f.Replace(now, servers)
 //	f.Put(now, server)
 //	f.Remove(now, id)
@@ -47,6 +47,7 @@
 // Fleet is the list of servers. It is not safe for concurrent use.
 type Fleet struct {
 	settling clock.Millis
+	doubt    clock.Millis
 	servers  map[string]Server
 	// missing holds the servers without a record, with the time at which each
 	// is dropped.
@@ -59,9 +60,10 @@
 }
 
 // New returns an empty Fleet. A record that is missing longer than settling
-// after the store's return, in milliseconds, is dropped.
-func New(settling clock.Millis) *Fleet {
-	return &Fleet{settling: settling, servers: map[string]Server{}, missing: map[string]clock.Millis{}}
+// after the store's return is dropped, one that vanished since then after doubt
+// already. Both are in milliseconds.
+func New(settling, doubt clock.Millis) *Fleet {
+	return &Fleet{settling: settling, doubt: doubt, servers: map[string]Server{}, missing: map[string]clock.Millis{}}
 }
 
 // Lost notes that a call to the store failed.
@@ -72,6 +74,9 @@
 	if f.away {
 		f.back = now
 		f.hadBack = true
+		for id := range f.missing {
+			f.missing[id] = now + f.settling
+		}
 	}
 	f.away = false
 }
@@ -99,7 +104,7 @@
 	}
 	if f.settlingNow(now) && !s.Leaving {
 		if _, ok := f.missing[id]; !ok {
-			f.missing[id] = f.back + f.settling
+			f.missing[id] = min(f.back+f.settling, now+f.doubt)
 		}
 		return
 	}
@@ -114,8 +119,14 @@
 		f.Put(now, s)
 	}
 	for _, id := range f.ids() {
-		if !present[id] {
-			f.Remove(now, id)
+		if present[id] {
+			continue
+		}
+		_, known := f.missing[id]
+		f.Remove(now, id)
+		if _, ok := f.missing[id]; ok && !known {
+			// When it vanished is not known; it may have been during the outage.
+			f.missing[id] = f.back + f.settling
 		}
 	}
 }
@@ -123,17 +134,26 @@
 // Settle drops the servers whose records did not come back in time. It does
 // nothing while the store is away.
 func (f *Fleet) Settle(now clock.Millis) {
-	if f.settlingNow(now) {
+	if f.away {
 		return
 	}
-	for id := range f.missing {
-		f.drop(id)
+	for id, until := range f.missing {
+		if now >= until {
+			f.drop(id)
+		}
 	}
 }
 
-// SettleAt is when Settle has something to do, and whether it has.
-func (f *Fleet) SettleAt() (clock.Millis, bool) {
-	return f.back + f.settling, len(f.missing) > 0 && !f.away
+// SettleIn is how long until Settle has something to do, false where nothing is
+// missing.
+func (f *Fleet) SettleIn(now clock.Millis) (clock.Millis, bool) {
+	first, ok := clock.Millis(0), false
+	for _, until := range f.missing {
+		if !ok || until < first {
+			first, ok = until, true
+		}
+	}
+	return max(first-now, 0), ok && !f.away
 }
 
 func (f *Fleet) drop(id string) {
--- /dev/null
+++ b/internal/policy/fleet/fleet_test.go
@@ -0,0 +1,99 @@
+package fleet_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/fleet"
+)
+
+const (
+	settling = 2_000 * clock.Millis(1)
+	doubt    = 1_200 * clock.Millis(1)
+)
+
+func ids(f *fleet.Fleet) []string {
+	var all []string
+	for _, s := range f.List() {
+		all = append(all, s.ID)
+	}
+	return all
+}
+
+func filled() *fleet.Fleet {
+	f := fleet.New(settling, doubt)
+	f.Answered(0)
+	f.Replace(0, []fleet.Server{{ID: "a"}, {ID: "b"}})
+	return f
+}
+
+func TestARecordThatVanishesOnACalmDayCountsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Remove(10, "a")
+	c.Assert(ids(f), qt.DeepEquals, []string{"b"})
+}
+
+func TestRecordsThatLapsedInAnOutageAreKeptUntilTheyAreBack(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Lost(100)
+	f.Answered(5_000)
+	f.Replace(5_000, nil)
+	f.Settle(5_000)
+	c.Assert(ids(f), qt.DeepEquals, []string{"a", "b"})
+	f.Put(6_000, fleet.Server{ID: "a"})
+	f.Settle(7_000)
+	c.Assert(ids(f), qt.DeepEquals, []string{"a"})
+}
+
+func TestNothingIsDroppedWhileTheStoreIsAway(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Lost(100)
+	f.Remove(200, "a")
+	f.Settle(60_000)
+	c.Assert(ids(f), qt.DeepEquals, []string{"a", "b"})
+	_, ok := f.SettleIn(60_000)
+	c.Assert(ok, qt.IsFalse)
+	f.Answered(60_000)
+	f.Settle(60_000)
+	c.Assert(ids(f), qt.DeepEquals, []string{"a", "b"})
+	f.Settle(62_000)
+	c.Assert(ids(f), qt.DeepEquals, []string{"b"})
+}
+
+// A host that the store turned away until just before a server left must not
+// take the server's leaving for a lapsed record longer than 2 s.
+func TestAServerThatLeavesRightAfterAnOutageIsDroppedWithinItsBound(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Lost(100)
+	f.Answered(5_000)
+	f.Replace(5_000, []fleet.Server{{ID: "a"}, {ID: "b"}})
+	f.Remove(5_300, "a")
+	in, ok := f.SettleIn(5_300)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(in < settling, qt.IsTrue)
+	f.Settle(5_300 + in)
+	c.Assert(ids(f), qt.DeepEquals, []string{"b"})
+}
+
+func TestAServerThatSaidThatItLeavesIsGoneWithItsRecord(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Put(10, fleet.Server{ID: "a", Leaving: true})
+	f.Lost(100)
+	f.Answered(200)
+	f.Remove(250, "a")
+	c.Assert(ids(f), qt.DeepEquals, []string{"b"})
+}
+
+func TestARestartUnderTheSameIDReplacesTheRecord(t *testing.T) {
+	c := qt.New(t)
+	f := filled()
+	f.Put(10, fleet.Server{ID: "a", Born: 7, Address: "10.0.0.9:1"})
+	c.Assert(f.List()[0].Born, qt.Equals, int64(7))
+}
--- a/internal/share/news/follow.go
+++ b/internal/share/news/follow.go
@@ -33,25 +33,17 @@
 	onAll    func(rows.Reply)
 	onChange func(rows.Reply)
 	onLost   func()
-	// onConfirmed is told the moment as of which the rows were complete.
-	onConfirmed func(clock.Millis)
 
 	// read tells that all rows were read, after which version to watch from.
 	read  bool
 	after int64
 	lost  bool
-	// offset is the least that is known of the local clock that counts
-	// suspension over the store's; storeNow is the store's last reading.
-	offset   clock.Millis
-	hasTimes bool
-	storeNow clock.Millis
 }
 
 func (f *follower) run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		sent := f.clock.Boot()
-		err := f.step(ctx, sent)
+		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -83,7 +75,7 @@
 }
 
 // step makes one call and hands on what it brought.
-func (f *follower) step(ctx context.Context, sent clock.Millis) error {
+func (f *follower) step(ctx context.Context) error {
 	if !f.read {
 		reply, err := f.store.Read(ctx, f.of)
 		if err != nil {
@@ -94,7 +86,6 @@
 		}
 		f.read, f.after = true, reply.Version
 		f.onAll(reply)
-		f.confirm(sent, reply.Now)
 		return nil
 	}
 	reply, err := f.store.Watch(ctx, f.of.Table, f.after, f.wait)
@@ -105,20 +96,5 @@
 		f.after = max(f.after, reply.Version)
 	}
 	f.onChange(reply)
-	f.confirm(sent, reply.Now)
 	return nil
 }
-
-// confirm works out the moment at which the store gave an answer. A call that
-// waited was sent long before that; the store's clock, set off against calls
-// that were answered at once, bounds the moment from below.
-func (f *follower) confirm(sent, storeNow clock.Millis) {
-	if f.hasTimes && storeNow < f.storeNow {
-		f.hasTimes = false
-	}
-	f.storeNow = storeNow
-	if bound := sent - storeNow; !f.hasTimes || bound > f.offset {
-		f.offset, f.hasTimes = bound, true
-	}
-	f.onConfirmed(max(sent, storeNow+f.offset))
-}
--- a/internal/share/news/news.go
+++ b/internal/share/news/news.go
@@ -3,13 +3,15 @@
 //
 // Each of the two tables has a follower. It reads everything once and then
 // watches for changes; a watch that fails, or whose history is gone, is begun
-// again with a full read. Every answer confirms what is known as of the moment
-// at which the store gave it. A watch always asks for the changes after the
-// last one that was seen, so that a change which the store left out of a reply
-// is in a later one.
+// again with a full read. A watch always asks for the changes after the last
+// one that was seen, so that a change which the store left out of a reply is in
+// a later one.
 //
-// How old the confirmation is decides whether keys may be let through
-// (Freshness). Ages are read off a clock that counts suspension.
+// A watch that is silent confirms nothing, since the store may leave changes
+// out for a while. The manifest is therefore read again and again beside its
+// watch; each read confirms it as of the moment at which the read was sent. How
+// old that confirmation is decides whether keys may be let through. Ages are
+// read off a clock that counts suspension.
 //
 // # Usage
 //
@@ -57,12 +59,20 @@
 
 // The settings where they are 0.
 const (
-	// defaultWait is half of the time within which a manifest has to be in
-	// force, so that a silent watch is found out in time.
-	defaultWait = 1_500 * clock.Millis(1)
+	// defaultWait is how long a watch may be silent before a lost connection is
+	// found out: hosts have Contact and Drain together, 5 s, to take in that a
+	// server leaves after all connections fell silent.
+	defaultWait = 2_500 * clock.Millis(1)
+	// defaultConfirm is the time between two reads of the manifest: within the
+	// 2 s that a change may take to be in force.
+	defaultConfirm = 1_300 * clock.Millis(1)
 	// settling is the time after which the platform promises that the records
 	// of living servers are back.
 	settling = 2_000 * clock.Millis(1)
+	// doubt is how long a record that was seen to vanish is still believed to
+	// be a victim of the last outage: within the 2 s that a leaving server may
+	// get requests.
+	doubt = 1_200 * clock.Millis(1)
 )
 
 // News holds the followers. Its fields are set before Run.
@@ -73,6 +83,8 @@
 	Log    *log.Logger
 	// Wait is how long a watch waits for a change, in milliseconds.
 	Wait clock.Millis
+	// ConfirmEvery is the time between two reads of the manifest, in milliseconds.
+	ConfirmEvery clock.Millis
 	// Changed is called after each change of the view, one call at a time.
 	Changed func(View)
 
@@ -105,11 +117,10 @@
 
 // Run follows both tables until the context ends.
 func (n *News) Run(ctx context.Context) {
-	n.fleet = fleet.New(settling)
+	n.fleet = fleet.New(settling, doubt)
 	manifest := n.follower("manifest", n.Source.ManifestRange)
 	manifest.onAll = func(r rows.Reply) { n.takeManifest(r.Rows) }
 	manifest.onChange = func(r rows.Reply) { n.takeManifest(r.Rows) }
-	manifest.onConfirmed = n.Confirm
 	servers := n.follower("servers", n.Source.ServersRange)
 	servers.onAll = n.takeAllServers
 	servers.onChange = n.takeServers
@@ -117,6 +128,7 @@
 	var both sync.WaitGroup
 	both.Go(func() { manifest.run(ctx) })
 	both.Go(func() { servers.run(ctx) })
+	both.Go(func() { n.confirmAll(ctx) })
 	both.Wait()
 }
 
@@ -137,16 +149,46 @@
 		wait = defaultWait
 	}
 	return &follower{
-		store:       n.Store,
-		clock:       n.Clock,
-		log:         n.Log.With("table", name),
-		of:          of,
-		wait:        wait,
-		onLost:      func() {},
-		onConfirmed: func(clock.Millis) {},
+		store:  n.Store,
+		clock:  n.Clock,
+		log:    n.Log.With("table", name),
+		of:     of,
+		wait:   wait,
+		onLost: func() {},
 	}
 }
 
+// confirmAll reads the manifest again and again until the context ends.
+func (n *News) confirmAll(ctx context.Context) {
+	every := n.ConfirmEvery
+	if every == 0 {
+		every = defaultConfirm
+	}
+	for ctx.Err() == nil {
+		sent := n.Clock.Boot()
+		reply, err := n.Store.Read(ctx, n.Source.ManifestRange)
+		wait := every
+		switch {
+		case err != nil:
+			wait = confirmRetry
+		case reply.Version < n.View().Row:
+			n.Log.Warn("The store's answer is older than what is known; it confirms nothing.", "version", reply.Version)
+			wait = confirmRetry
+		default:
+			n.takeManifest(reply.Rows)
+			n.Confirm(sent)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.Clock.After(wait):
+		}
+	}
+}
+
+// confirmRetry is the wait after a read that failed, in milliseconds: several
+// tries have to fit into the age that keys allow.
+const confirmRetry = 250 * clock.Millis(1)
+
 // takeManifest puts a newer manifest in force. Versions never go back: a row
 // that is older than the known one is passed over.
 func (n *News) takeManifest(all []rows.Row) {
@@ -237,6 +279,9 @@
 
 func (n *News) publishServers(now clock.Millis) {
 	n.fleet.Settle(now)
+	if in, ok := n.fleet.SettleIn(now); ok {
+		go n.settleLater(in)
+	}
 	v := n.View()
 	list := n.fleet.List()
 	if v.ServersKnown && sameList(v.Servers, list) {
@@ -253,6 +298,14 @@
 	n.publish(v)
 }
 
+// settleLater looks again at records that are missing.
+func (n *News) settleLater(in clock.Millis) {
+	<-n.Clock.After(in + 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.publishServers(n.Clock.Boot())
+}
+
 func sameList(a, b []fleet.Server) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -53,9 +53,9 @@
 	// memoryShare is how much of the host's memory the runtime may plan with.
 	memoryShare = 0.6
 	// keyMargin is how much sooner than the platform demands a confirmation is
-	// too old for keys: a watch may miss changes for a second, and a request
-	// needs its way to a server.
-	keyMargin = 1_400 * clock.Millis(1)
+	// too old for keys, in milliseconds: a request needs its way to a server,
+	// on a slowed host as well.
+	keyMargin = 350 * clock.Millis(1)
 	// readyMargin takes a host out of the balancer before it has to refuse.
 	readyMargin = 400 * clock.Millis(1)
 	// peerDialTimeout and peerSilence bound how long a request waits for a
