A keeper asks servers what they have cached; followers wait for the confirming read

Three loops per host knocked at a store that was away. Ruled out: hosts' reports alone; after a power loss nobody has anything to report.

--- a/internal/share/clerk/clerk.go
+++ b/internal/share/clerk/clerk.go
@@ -61,6 +61,9 @@
 	Log     *log.Logger
 	// Settings are those of the decisions.
 	Settings grant.Settings
+	// Holdings asks a server which parts of prompts it has cached; nil where
+	// servers cannot be asked.
+	Holdings func(ctx context.Context, s fleet.Server) ([]place.Part, error)
 
 	mu       sync.Mutex
 	desks    map[string]*desk
@@ -292,7 +295,7 @@
 	defer c.mu.Unlock()
 	d := c.desks[service]
 	if d == nil {
-		d = newDesk(service, c.Settings, c.Clock, c.Log)
+		d = newDesk(service, c)
 		d.setServers(c.servers)
 		c.desks[service] = d
 	}
--- a/internal/share/clerk/desk.go
+++ b/internal/share/clerk/desk.go
@@ -38,19 +38,55 @@
 	waiting map[string]chan grant.Decision
 	ticking bool
 	looked  clock.Millis
+	// holdings asks a server what it has cached, asked are the servers that
+	// were asked, by ID and address.
+	holdings func(ctx context.Context, s fleet.Server) ([]place.Part, error)
+	asked    map[string]bool
+	used     bool
 }
 
-func newDesk(service string, s grant.Settings, c clock.Clock, l *log.Logger) *desk {
+func newDesk(service string, c *Clerk) *desk {
 	return &desk{
 		service:  service,
-		settings: s,
-		clock:    c,
-		log:      l.With("service", service),
-		core:     grant.New(s),
+		settings: c.Settings,
+		clock:    c.Clock,
+		log:      c.Log.With("service", service),
+		core:     grant.New(c.Settings),
 		waiting:  map[string]chan grant.Decision{},
+		holdings: c.Holdings,
+		asked:    map[string]bool{},
 	}
 }
 
+// askHoldings asks each server once what it has cached, so that a keeper which
+// takes over, or starts with all other hosts, does not have it read again. The
+// lock is held.
+func (d *desk) askHoldings() {
+	if d.holdings == nil || !d.used {
+		return
+	}
+	for _, s := range d.servers {
+		key := s.ID + "@" + s.Address
+		if !d.asked[key] {
+			d.asked[key] = true
+			go d.learnHoldings(s)
+		}
+	}
+}
+
+func (d *desk) learnHoldings(s fleet.Server) {
+	parts, err := d.holdings(context.Background(), s)
+	if err != nil {
+		d.log.Warn("A server did not say what it has cached.", "server", s.ID, "err", err)
+		return
+	}
+	d.log.Info("A server said what it has cached.", "server", s.ID, "parts", len(parts))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Learn(d.clock.Now(), []grant.Held{{Server: s.ID, Parts: parts}})
+	d.decide()
+}
+
 func (d *desk) setServers(all []fleet.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -61,6 +97,7 @@
 		}
 	}
 	d.core.SetServers(d.servers)
+	d.askHoldings()
 	d.decide()
 }
 
@@ -69,6 +106,10 @@
 	decided := make(chan grant.Decision, 1)
 	d.mu.Lock()
 	d.waiting[a.ID] = decided
+	if !d.used {
+		d.used = true
+		d.askHoldings()
+	}
 	d.core.Ask(d.clock.Now(), a)
 	d.decide()
 	d.mu.Unlock()
--- a/internal/share/news/follow.go
+++ b/internal/share/news/follow.go
@@ -11,12 +11,11 @@
 	"siskinsaddle/internal/plat/rows"
 )
 
-// The waits after calls that failed, in milliseconds. The last is short enough
-// that the store's return is known before the settling time of the servers'
-// records ends.
+// The waits after calls that failed, in milliseconds. They end early when the
+// reads that confirm the manifest find the store back.
 const (
 	firstRetry = 100 * clock.Millis(1)
-	lastRetry  = 800 * clock.Millis(1)
+	lastRetry  = 3_200 * clock.Millis(1)
 )
 
 // errStale is a reply that is older than what is known, which says nothing.
@@ -33,6 +32,9 @@
 	onAll    func(rows.Reply)
 	onChange func(rows.Reply)
 	onLost   func()
+	// back returns a channel that closes when another caller of the store got
+	// an answer again.
+	back func() <-chan struct{}
 
 	// read tells that all rows were read, after which version to watch from.
 	read  bool
@@ -43,6 +45,7 @@
 func (f *follower) run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
+		back := f.back()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -68,6 +71,7 @@
 		jittered := pause/2 + clock.Millis(rand.Int64N(int64(pause)))
 		select {
 		case <-ctx.Done():
+		case <-back:
 		case <-f.clock.After(jittered):
 		}
 		pause = min(2*pause, lastRetry)
--- a/internal/share/news/news.go
+++ b/internal/share/news/news.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -59,13 +60,15 @@
 
 // The settings where they are 0.
 const (
-	// defaultWait is how long a watch may be silent before a lost connection is
+	// serversWait is how long a watch may be silent before a lost connection is
 	// found out: hosts have Contact and Drain together, 5 s, to take in that a
 	// server leaves after all connections fell silent.
-	defaultWait = 2_500 * clock.Millis(1)
+	serversWait = 3_200 * clock.Millis(1)
+	// manifestWait is long, since reads beside the watch find out the same.
+	manifestWait = 20_000 * clock.Millis(1)
 	// defaultConfirm is the time between two reads of the manifest: within the
 	// 2 s that a change may take to be in force.
-	defaultConfirm = 1_300 * clock.Millis(1)
+	defaultConfirm = 1_400 * clock.Millis(1)
 	// settling is the time after which the platform promises that the records
 	// of living servers are back.
 	settling = 2_000 * clock.Millis(1)
@@ -81,8 +84,6 @@
 	Clock  clock.Clock
 	Source Source
 	Log    *log.Logger
-	// Wait is how long a watch waits for a change, in milliseconds.
-	Wait clock.Millis
 	// ConfirmEvery is the time between two reads of the manifest, in milliseconds.
 	ConfirmEvery clock.Millis
 	// Changed is called after each change of the view, one call at a time.
@@ -92,6 +93,24 @@
 	confirmed atomic.Int64
 	mu        sync.Mutex
 	fleet     *fleet.Fleet
+	// up is closed and made anew when a read of the manifest succeeds after one
+	// that failed.
+	up chan struct{}
+}
+
+// back returns a channel that closes when the store is back.
+func (n *News) back() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.up
+}
+
+// isBack wakes the followers that wait for the store.
+func (n *News) isBack() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.up)
+	n.up = make(chan struct{})
 }
 
 // View returns what is known now.
@@ -118,10 +137,11 @@
 // Run follows both tables until the context ends.
 func (n *News) Run(ctx context.Context) {
 	n.fleet = fleet.New(settling, doubt)
-	manifest := n.follower("manifest", n.Source.ManifestRange)
+	n.up = make(chan struct{})
+	manifest := n.follower("manifest", n.Source.ManifestRange, manifestWait)
 	manifest.onAll = func(r rows.Reply) { n.takeManifest(r.Rows) }
 	manifest.onChange = func(r rows.Reply) { n.takeManifest(r.Rows) }
-	servers := n.follower("servers", n.Source.ServersRange)
+	servers := n.follower("servers", n.Source.ServersRange, serversWait)
 	servers.onAll = n.takeAllServers
 	servers.onChange = n.takeServers
 	servers.onLost = n.lostServers
@@ -143,12 +163,9 @@
 	}
 }
 
-func (n *News) follower(name string, of rows.Range) *follower {
-	wait := n.Wait
-	if wait == 0 {
-		wait = defaultWait
-	}
+func (n *News) follower(name string, of rows.Range, wait clock.Millis) *follower {
 	return &follower{
+		back:   n.back,
 		store:  n.Store,
 		clock:  n.Clock,
 		log:    n.Log.With("table", name),
@@ -164,13 +181,18 @@
 	if every == 0 {
 		every = defaultConfirm
 	}
+	lost := false
 	for ctx.Err() == nil {
 		sent := n.Clock.Boot()
 		reply, err := n.Store.Read(ctx, n.Source.ManifestRange)
 		wait := every
+		if err == nil && lost {
+			n.isBack()
+		}
+		lost = err != nil
 		switch {
 		case err != nil:
-			wait = confirmRetry
+			wait = confirmRetry + clock.Millis(rand.N(int64(confirmRetry)))
 		case reply.Version < n.View().Row:
 			n.Log.Warn("The store's answer is older than what is known; it confirms nothing.", "version", reply.Version)
 			wait = confirmRetry
@@ -187,7 +209,7 @@
 
 // confirmRetry is the wait after a read that failed, in milliseconds: several
 // tries have to fit into the age that keys allow.
-const confirmRetry = 250 * clock.Millis(1)
+const confirmRetry = 200 * clock.Millis(1)
 
 // takeManifest puts a newer manifest in force. Versions never go back: a row
 // that is older than the known one is passed over.
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -96,6 +96,7 @@
 	p, n := newPass(s, c, l, counters)
 	others := newCrew(s, c, l, counters)
 	p.Clerk = others.Clerk
+	p.Clerk.Holdings = platform.Engines{Client: p.Client}.Holdings
 	p.Hosts = others.Count
 	return &gate.Gate{
 		Settings: gate.Settings{
