Pauses between long prompts; quick prompts go ahead; those that wait keep their place

Change: a long prompt is handed out when the one before has its first event and a pause of 8% of its reading has passed; prompts that are read within 200 ms go up to 200 ms ahead; the head of the queue keeps the server that it waits for.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -11,8 +11,10 @@
 //     server would be ready much sooner.
 //   - A part that is cached nowhere goes where the least is still to be read,
 //     by tokens, not by the number of requests.
-//   - A server is handed the next prompt shortly before it has read the last,
-//     so that what waits does so here, in the order of tiers.
+//   - A server is handed the next long prompt when it has read the last one and
+//     has had a pause. Without pauses the answers that run there get one token
+//     for each piece of a prompt, and none of them ends in time. What waits does
+//     so here, in the order of tiers.
 //   - Short prompts have servers of their own, as many as their share of the
 //     reading asks for: the pauses between their tokens are as long as the
 //     pieces of long prompts that are read in between.
@@ -77,9 +79,19 @@
 	// TokensPerMilli is the pace at which a prompt is taken to be read before
 	// one was seen.
 	TokensPerMilli float64
-	// Ahead is how much reading a server is handed before it is through with
-	// what it has, in milliseconds.
-	Ahead clock.Millis
+	// Ahead is how much reading a server may have before it when it is handed a
+	// quick prompt, one that is read within QuickRead, in milliseconds.
+	Ahead     float64
+	QuickRead float64
+	// Pause is the share of a prompt's reading time that a server then gets to
+	// generate without reading.
+	Pause float64
+	// LongAhead is what Ahead is for prompts that are not quick.
+	LongAhead float64
+	// ReadWeight is how much later a request counts as due for each millisecond
+	// of reading that it needs: when not all can be on time, more are if the
+	// quick ones go first.
+	ReadWeight float64
 	// Again is the price of reading what another server holds, as a multiple
 	// of the time that it takes.
 	Again float64
@@ -102,13 +114,17 @@
 func Defaults() Settings {
 	return Settings{
 		TokensPerMilli: 45,
-		Ahead:          150,
+		Ahead:          200,
+		QuickRead:      200,
+		Pause:          0.08,
+		LongAhead:      1,
 		Again:          1,
 		ShortTokens:    4_000,
 		ShortWeight:    3,
 		OtherGroup:     300,
 		PerRunning:     4,
 		LeastTail:      300,
+		ReadWeight:     1,
 	}
 }
 
@@ -117,6 +133,8 @@
 	Ask
 	at    clock.Millis
 	until clock.Millis
+	// rank orders requests of a tier.
+	rank float64
 }
 
 // granted is a request at a server.
@@ -146,7 +164,6 @@
 	pace     float64
 	// holders counts the servers that hold a part.
 	holders map[string]int
-	ready   []Decision
 }
 
 // New returns a Core without servers.
@@ -226,6 +243,7 @@
 		c.learnPace(g, now)
 	}
 	g.server.read(now, g)
+	g.server.owe(now, c.settings.Pause*g.read)
 	for _, p := range place.Shared(g.Parts) {
 		c.hold(g.server, p, now)
 	}
@@ -385,7 +403,7 @@
 // give books a request on a server.
 func (c *Core) give(now clock.Millis, a Ask, until clock.Millis, s *server) *granted {
 	fresh := s.fresh(a.Parts, a.Tokens)
-	g := &granted{Ask: a, server: s, at: now, until: until, fresh: fresh, read: c.readTime(a.Tokens, fresh)}
+	g := &granted{Ask: a, server: s, at: now, until: until, fresh: fresh, read: c.readTime(fresh)}
 	g.alone = len(s.unread) == 0
 	for _, other := range s.unread {
 		other.alone = false
@@ -397,7 +415,7 @@
 
 // readTime is how long a prompt takes to be read, in milliseconds: what is not
 // cached by the pace, and a little for each prompt.
-func (c *Core) readTime(_, fresh int) float64 {
+func (c *Core) readTime(fresh int) float64 {
 	return promptTime + float64(fresh)/c.pace
 }
 
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -71,8 +71,7 @@
 
 // Next decides on what waits. Requests for which no server is ready yet stay.
 func (c *Core) Next(now clock.Millis) []Decision {
-	decisions := c.ready
-	c.ready = nil
+	var decisions []Decision
 	c.expire(now)
 	if len(c.queue) == 0 {
 		return decisions
@@ -81,6 +80,9 @@
 	usable := c.usable(now)
 	shorts := c.shortServers(now, len(usable))
 	left := c.queue[:0]
+	for _, s := range usable {
+		s.planned = 0
+	}
 	for _, q := range c.queue {
 		d, ok := c.decide(now, q, usable, shorts)
 		if !ok {
@@ -100,6 +102,9 @@
 // sortQueue puts the more urgent tiers first, and within a tier those that can
 // still be on time, by the end of their time.
 func (c *Core) sortQueue(now clock.Millis) {
+	for _, q := range c.queue {
+		q.rank = float64(q.at+q.Target) + c.settings.ReadWeight*c.cheapest(q.Ask)
+	}
 	sort.SliceStable(c.queue, func(i, j int) bool {
 		a, b := c.queue[i], c.queue[j]
 		if a.Tier != b.Tier {
@@ -108,10 +113,23 @@
 		if al, bl := now > a.at+a.Target, now > b.at+b.Target; al != bl {
 			return bl
 		}
-		return a.at+a.Target < b.at+b.Target
+		return a.rank < b.rank
 	})
 }
 
+// cheapest is the least reading that any server would need for a prompt, in
+// milliseconds.
+func (c *Core) cheapest(a Ask) float64 {
+	tokens := a.Tokens
+	for _, p := range place.Shared(a.Parts) {
+		if c.holders[p.Name] == 0 {
+			break
+		}
+		tokens -= p.Tokens
+	}
+	return c.readTime(max(tokens, 1))
+}
+
 // usable returns the servers that may get something new, in the order of a hash
 // that a server's coming or going does not disturb.
 func (c *Core) usable(now clock.Millis) []*server {
@@ -138,27 +156,27 @@
 type offer struct {
 	server *server
 	cost   float64
-	// after is the time until the server should be handed the request.
+	// after is the time until the server should be handed the request, read
+	// how long it reads then, both in milliseconds.
 	after float64
+	read  float64
 	fresh int
-	wait  *granted
+	// waits tells that a shared part is on its way to the server.
+	waits bool
 }
 
 // decide grants the cheapest server if it is ready for the request, refuses a
 // request that has run out of time, and otherwise leaves it waiting.
 func (c *Core) decide(now clock.Millis, q *asked, usable []*server, shorts int) (Decision, bool) {
-	if len(usable) == 0 {
-		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
-	}
 	best, ok := c.best(now, q, usable, shorts)
 	if !ok {
 		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
 	}
-	ready := best.after + c.readTime(q.Tokens, best.fresh)
-	if now+clock.Millis(ready)+c.settings.LeastTail > q.until {
+	if now+clock.Millis(best.after+best.read)+c.settings.LeastTail > q.until {
 		return Decision{Reason: "OutOfTime", RetryAfter: clock.Millis(best.after)}, true
 	}
-	if best.wait != nil || best.after > float64(c.settings.Ahead) {
+	if !c.ready(best) {
+		best.server.planned += best.read
 		return Decision{}, false
 	}
 	g := c.give(now, q.Ask, q.until, best.server)
@@ -166,6 +184,17 @@
 	return Decision{Server: best.server.ID, Reason: reason(best), Unread: clock.Millis(best.after)}, true
 }
 
+// ready tells whether a server should be handed a request now.
+func (c *Core) ready(o offer) bool {
+	if o.waits || o.server.planned > 0 {
+		return false
+	}
+	if o.read <= c.settings.QuickRead {
+		return o.after <= c.settings.Ahead
+	}
+	return o.after < c.settings.LongAhead
+}
+
 // noServerWait is about the time until a restarted server's record is back, in
 // milliseconds.
 const noServerWait = 500 * clock.Millis(1)
@@ -199,42 +228,20 @@
 // offer works out what a server costs a request: the time until its first
 // event, and what reading a part again takes from the others.
 func (c *Core) offer(now clock.Millis, q *asked, s *server) offer {
-	o := offer{server: s, after: s.backlog(now), fresh: s.fresh(q.Parts, q.Tokens)}
-	if g := s.coming(q.Parts); g != nil {
-		o.wait = g
-		o.fresh = freshAfter(q, g, s)
-	}
-	o.cost = o.after + c.readTime(q.Tokens, o.fresh) + c.settings.PerRunning*float64(s.running)
-	o.cost += c.settings.Again * float64(c.heldElsewhere(q, s, o)) / c.pace
+	o := offer{server: s, after: s.backlog(now) + s.pause(now)}
+	o.fresh, o.waits = s.later(q.Parts, q.Tokens)
+	o.read = c.readTime(o.fresh)
+	o.cost = o.after + o.read + c.settings.PerRunning*float64(s.running)
+	o.cost += c.settings.Again * float64(c.heldElsewhere(q, s)) / c.pace
 	return o
 }
 
-// freshAfter is what is left to read of a request's prompt once another one's
-// is read.
-func freshAfter(q *asked, g *granted, s *server) int {
-	tokens := q.Tokens
-	for _, p := range q.Parts {
-		_, held := s.parts[p.Name]
-		for _, other := range g.Parts {
-			held = held || other.Name == p.Name
-		}
-		if !held {
-			break
-		}
-		tokens -= p.Tokens
-	}
-	return max(tokens, 1)
-}
-
 // heldElsewhere is how many tokens the server would read that another one
 // holds or is about to hold.
-func (c *Core) heldElsewhere(q *asked, s *server, o offer) int {
-	if o.wait != nil {
-		return 0
-	}
+func (c *Core) heldElsewhere(q *asked, s *server) int {
 	again := 0
 	for _, p := range place.Shared(q.Parts) {
-		if _, ok := s.parts[p.Name]; !ok && (c.holders[p.Name] > 0 || c.beingRead(p.Name, s)) {
+		if _, ok := s.parts[p.Name]; !ok && !s.comes(p.Name) && (c.holders[p.Name] > 0 || c.beingRead(p.Name, s)) {
 			again += p.Tokens
 		}
 	}
@@ -243,15 +250,8 @@
 
 func (c *Core) beingRead(name string, except *server) bool {
 	for _, s := range c.order {
-		if s == except {
-			continue
-		}
-		for _, g := range s.unread {
-			for _, p := range place.Shared(g.Parts) {
-				if p.Name == name {
-					return true
-				}
-			}
+		if s != except && s.comes(name) {
+			return true
 		}
 	}
 	return false
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -14,11 +14,16 @@
 	unread  []*granted
 	running int
 	// since is when reading last began or got through with a prompt.
-	since  clock.Millis
-	parts  map[string]heldPart
-	held   int
-	health place.Health
-	gone   bool
+	since clock.Millis
+	// pauseUntil is the end of the pause that the server owes its answers.
+	pauseUntil clock.Millis
+	// planned is the reading of the requests that wait for this server, in
+	// milliseconds. It holds during one round of decisions.
+	planned float64
+	parts   map[string]heldPart
+	held    int
+	health  place.Health
+	gone    bool
 	// signFrom and signAt are the last host that got an event from the server,
 	// and when.
 	signFrom string
@@ -48,26 +53,32 @@
 // comingTokens is the least length of a shared part that is waited for.
 const comingTokens = 1_000
 
-// coming returns the request whose reading will bring the first part that the
-// server lacks, nil where there is none.
-func (s *server) coming(parts []place.Part) *granted {
-	for i, p := range parts {
-		if i == len(parts)-1 {
-			return nil
-		}
-		if _, ok := s.parts[p.Name]; ok || p.Tokens < comingTokens {
-			continue
+// comes tells whether a shared part that the server lacks is being read there.
+func (s *server) comes(name string) bool {
+	for _, g := range s.unread {
+		for _, q := range place.Shared(g.Parts) {
+			if q.Name == name {
+				return true
+			}
 		}
-		for _, g := range s.unread {
-			for _, q := range place.Shared(g.Parts) {
-				if q.Name == p.Name {
-					return g
-				}
+	}
+	return false
+}
+
+// later returns what is left to read of a prompt once the parts that come are
+// there, and whether there are such parts.
+func (s *server) later(parts []place.Part, tokens int) (int, bool) {
+	waits := false
+	for _, p := range place.Shared(parts) {
+		if _, ok := s.parts[p.Name]; !ok {
+			if !s.comes(p.Name) {
+				break
 			}
+			waits = waits || p.Tokens >= comingTokens
 		}
-		return nil
+		tokens -= p.Tokens
 	}
-	return nil
+	return max(tokens, 1), waits
 }
 
 func (s *server) add(now clock.Millis, g *granted) {
@@ -91,6 +102,16 @@
 
 func (s *server) end() { s.running-- }
 
+// owe puts a pause between what was read and the next long prompt.
+func (s *server) owe(now clock.Millis, pause float64) {
+	if s.running > 0 {
+		s.pauseUntil = max(s.pauseUntil, now) + clock.Millis(pause)
+	}
+}
+
+// pause is what is left of the pauses owed, in milliseconds.
+func (s *server) pause(now clock.Millis) float64 { return float64(max(s.pauseUntil-now, 0)) }
+
 // The slack in judging a server's reading: it is overdue after lateTimes the
 // expected time and lateSlack milliseconds.
 const (
