SIGHUP and changed settings are applied or refused as a whole; logs are bounded

Log lines went straight to standard output, with stack traces of errors over many lines. Ruled out: ignoring SIGHUP, since bounds may change with it.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -321,8 +321,8 @@
 // left after the least recently used parts were dropped. The engines of the
 // users hold 550,000 and more, part of it for what runs.
 const (
-	mostHeld = 400_000
-	evictTo  = 360_000
+	mostHeld = 520_000
+	evictTo  = 480_000
 )
 
 func (c *Core) evict(s *server) {
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -33,6 +33,11 @@
 	return &Window{ratio: ratio, slack: slack, length: length, services: map[string]*steps{}}
 }
 
+// Same tells whether the window has these bounds.
+func (w *Window) Same(ratio, slack float64, length clock.Millis) bool {
+	return w.ratio == ratio && w.slack == slack && w.length == length
+}
+
 // Requested notes a request for a service.
 func (w *Window) Requested(now clock.Millis, service string) {
 	s := w.advance(now, service)
--- a/internal/serve/gate/crew.go
+++ b/internal/serve/gate/crew.go
@@ -4,8 +4,7 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/charmbracelet/log"
-
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/share/clerk"
 	"siskinsaddle/internal/share/crew"
 	"siskinsaddle/internal/share/link"
@@ -43,7 +42,7 @@
 
 // run joins the others and serves their links until the context ends. Requests
 // are served meanwhile, by this host's decisions alone.
-func (c *Crew) run(ctx context.Context, l *log.Logger) {
+func (c *Crew) run(ctx context.Context, l *logs.Limited) {
 	secret, incarnation, err := c.Crew.Join(ctx)
 	if err != nil {
 		return
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -20,12 +20,12 @@
 	"net"
 	"sync/atomic"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/serve/inlet"
 	"siskinsaddle/internal/serve/pass"
 	"siskinsaddle/internal/serve/refuse"
@@ -65,17 +65,19 @@
 	// Crew is nil for a host that knows no others.
 	Crew  *Crew
 	Clock clock.Clock
-	Log   *log.Logger
+	Log   *logs.Limited
 	Count *count.Set
 
 	inlet    *inlet.Inlet
 	ready    *fasthttp.Server
+	current  atomic.Pointer[Settings]
 	stopping atomic.Bool
 	wasReady atomic.Bool
 }
 
 // Start listens and begins to follow the news, until the context ends.
 func (g *Gate) Start(ctx context.Context) error {
+	g.Apply(g.Settings)
 	g.Pass.Run()
 	if g.Crew != nil {
 		g.Crew.Clerk.Register()
@@ -101,6 +103,9 @@
 	return nil
 }
 
+// Apply puts changed settings in force. The addresses stay those of the start.
+func (g *Gate) Apply(s Settings) { g.current.Store(&s) }
+
 func (g *Gate) limits() inlet.Limits {
 	v := g.News.View()
 	if v.Manifest == nil {
@@ -138,7 +143,7 @@
 	v := g.News.View()
 	age := g.News.Age(g.Clock.Boot())
 	known := v.Manifest != nil && v.ServersKnown
-	ready := known && !g.stopping.Load() && age <= g.Settings.ReadyAge
+	ready := known && !g.stopping.Load() && age <= g.current.Load().ReadyAge
 	if g.wasReady.Swap(ready) != ready {
 		g.Log.Info("Readiness changed.", "ready", ready, "age", age, "known", known, "stopping", g.stopping.Load())
 	}
@@ -152,7 +157,7 @@
 	g.Log.Info("Stopping.", "open", g.inlet.Open(), "connections", g.inlet.Connections())
 	g.stopping.Store(true)
 	passed := func(m clock.Millis) bool { return g.Clock.Now() >= began+m }
-	until := g.Settings.StopTime - stopMargin
+	until := g.current.Load().StopTime - stopMargin
 	told := false
 	closed := false
 	for !passed(until) {
--- a/internal/serve/inlet/inlet.go
+++ b/internal/serve/inlet/inlet.go
@@ -34,11 +34,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/serve/refuse"
 )
 
@@ -88,7 +88,7 @@
 	Limits func() Limits
 	// Refused is told of each request that is answered without Handle.
 	Refused func(*refuse.Refusal)
-	Log     *log.Logger
+	Log     *logs.Limited
 	Count   *count.Set
 
 	listener net.Listener
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -19,11 +19,11 @@
 //		Age:    news.Age,
 //		Client: &wire.Client{},
 //		Placer: place.New(place.Defaults()),
-//		Repeats: retry.NewWindow(0.2, 54, 10*clock.Second),
 //		Hosts:  func() int { return 7 },
 //		Log:    logger,
 //		Count:  count.NewSet(),
 //	}
+//	p.Apply(pass.Bounds{RepeatRatio: 0.2, RepeatSlack: 54, RepeatWindow: 10 * clock.Second})
 //	i := &inlet.Inlet{Handle: p.Handle}
 package pass
 
@@ -33,11 +33,11 @@
 	"strconv"
 	"strings"
 	"sync"
-
-	"github.com/charmbracelet/log"
+	"sync/atomic"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
@@ -86,22 +86,22 @@
 	Clock  clock.Clock
 	View   func() news.View
 	// Age is how old the manifest's confirmation is at a reading of Clock.Boot.
-	Age func(now clock.Millis) clock.Millis
-	// KeyAge is the oldest confirmation under which keys are let through, in
-	// milliseconds, 0 for any.
-	KeyAge clock.Millis
+	Age    func(now clock.Millis) clock.Millis
 	Client *wire.Client
 	Placer *place.Placer
-	// Repeats is shared with nobody else.
+	// Repeats is made by Apply.
 	Repeats *retry.Window
 	// Hosts is the number of live hosts.
 	Hosts func() int
 	// Clerk asks the keepers of engines; nil where this host decides alone.
 	Clerk *clerk.Clerk
-	Log   *log.Logger
+	Log   *logs.Limited
 	Count *count.Set
 
-	mu sync.Mutex
+	// keyAge is the oldest confirmation under which keys are let through, in
+	// milliseconds, 0 for any.
+	keyAge atomic.Int64
+	mu     sync.Mutex
 	// dropped are the fields of a caller that are not passed on.
 	dropped map[string]bool
 }
@@ -118,6 +118,29 @@
 	}
 }
 
+// Bounds are the promises that the forwarding keeps to. They may change while
+// it runs.
+type Bounds struct {
+	// KeyAge is the oldest confirmation of the manifest under which keys are let
+	// through, in milliseconds, 0 for any.
+	KeyAge clock.Millis
+	// RepeatRatio and RepeatSlack bound the repeats of all hosts in
+	// RepeatWindow milliseconds.
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow clock.Millis
+}
+
+// Apply puts bounds in force. Repeats are counted anew if theirs changed.
+func (p *Pass) Apply(b Bounds) {
+	p.keyAge.Store(int64(b.KeyAge))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.Repeats == nil || !p.Repeats.Same(b.RepeatRatio, b.RepeatSlack, b.RepeatWindow) {
+		p.Repeats = retry.NewWindow(b.RepeatRatio, b.RepeatSlack, b.RepeatWindow)
+	}
+}
+
 // SetServers hands a new list of servers to the placing.
 func (p *Pass) SetServers(all []fleet.Server) {
 	p.mu.Lock()
@@ -168,7 +191,8 @@
 	}
 	m := view.Manifest
 	j.manifest = m.Version()
-	confirmed := p.KeyAge == 0 || j.age <= p.KeyAge
+	keyAge := clock.Millis(p.keyAge.Load())
+	confirmed := keyAge == 0 || j.age <= keyAge
 	found, ok := m.Find(r.Host, r.Path)
 	if !ok {
 		if !confirmed {
--- a/internal/share/clerk/clerk.go
+++ b/internal/share/clerk/clerk.go
@@ -26,10 +26,10 @@
 	"sort"
 	"sync"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -58,7 +58,7 @@
 	Members func() []crew.Member
 	Link    *link.Node
 	Clock   clock.Clock
-	Log     *log.Logger
+	Log     *logs.Limited
 	// Settings are those of the decisions.
 	Settings grant.Settings
 	// Holdings asks a server which parts of prompts it has cached; nil where
--- a/internal/share/clerk/desk.go
+++ b/internal/share/clerk/desk.go
@@ -4,10 +4,10 @@
 	"context"
 	"sync"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -30,7 +30,7 @@
 	service  string
 	settings grant.Settings
 	clock    clock.Clock
-	log      *log.Logger
+	log      *logs.Limited
 
 	mu      sync.Mutex
 	core    *grant.Core
--- a/internal/share/crew/crew.go
+++ b/internal/share/crew/crew.go
@@ -22,10 +22,10 @@
 	"sort"
 	"sync"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/plat/rows"
 )
 
@@ -58,7 +58,7 @@
 	Table string
 	Self  Member
 	Clock clock.Clock
-	Log   *log.Logger
+	Log   *logs.Limited
 
 	mu      sync.Mutex
 	members []Member
--- a/internal/share/news/follow.go
+++ b/internal/share/news/follow.go
@@ -4,10 +4,10 @@
 	"context"
 	"math/rand/v2"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/plat/rows"
 )
 
@@ -25,7 +25,7 @@
 type follower struct {
 	store rows.Store
 	clock clock.Clock
-	log   *log.Logger
+	log   *logs.Limited
 	of    rows.Range
 	wait  clock.Millis
 	// onAll is given all rows, onChange those that changed, possibly none.
--- a/internal/share/news/news.go
+++ b/internal/share/news/news.go
@@ -28,10 +28,10 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/route"
@@ -83,7 +83,7 @@
 	Store  rows.Store
 	Clock  clock.Clock
 	Source Source
-	Log    *log.Logger
+	Log    *logs.Limited
 	// ConfirmEvery is the time between two reads of the manifest, in milliseconds.
 	ConfirmEvery clock.Millis
 	// Changed is called after each change of the view, one call at a time.
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,7 +17,6 @@
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
-	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/serve/gate"
 	"siskinsaddle/internal/serve/pass"
 	"siskinsaddle/internal/serve/wire"
@@ -38,11 +38,7 @@
 		Example: "  siskinsaddle front --platform-settings /etc/siskinsaddle/local.json",
 		Args:    noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := platform.Load(file)
-			if err != nil {
-				return err
-			}
-			return front(s, logs.New(c.OutOrStdout(), logs.LevelInfo))
+			return front(file, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "platform-settings", platform.SettingsPath(), "the platform's settings file")
@@ -73,49 +69,79 @@
 	pauseTimeout = 12 * clock.Second
 )
 
-func front(s platform.Settings, l *log.Logger) error {
+// logsWait bounds the writing of the last lines at the end, in milliseconds.
+const logsWait = 200 * clock.Millis(1)
+
+func front(file string, out io.Writer) error {
+	c := clock.System()
+	counters := count.NewSet()
+	queue := logs.NewQueue(out)
+	defer queue.Close(c, logsWait)
+	plain := logs.New(queue, logs.LevelInfo)
+	l := logs.Limit(plain, c, counters)
+	s, err := platform.Load(file)
+	if err != nil {
+		l.Error("The platform's settings cannot be used.", "file", file, "err", err)
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	g := newGate(s, l)
+	g := newGate(s, c, l, plain, counters)
 	following, end := context.WithCancel(context.Background())
 	defer end()
 	if err := g.Start(following); err != nil {
+		l.Error("The host cannot start.", "err", err)
 		return err
 	}
 	l.Info("Takes callers.", "host", s.HostName, "address", s.CallerAddress, "failureDomain", s.FailureDomain)
+	go (&reloader{file: file, current: s, gate: g, clock: c, log: l}).run(following)
 	<-ctx.Done()
 	g.Stop()
 	return nil
 }
 
 // newGate puts a host together from what the platform says.
-func newGate(s platform.Settings, l *log.Logger) *gate.Gate {
-	c := clock.System()
-	counters := count.NewSet()
+func newGate(s platform.Settings, c clock.Clock, l *logs.Limited, plain *log.Logger, counters *count.Set) *gate.Gate {
 	p, n := newPass(s, c, l, counters)
-	others := newCrew(s, c, l, counters)
+	others := newCrew(s, c, l, plain, counters)
 	p.Clerk = others.Clerk
 	p.Clerk.Holdings = platform.Engines{Client: p.Client}.Holdings
 	p.Hosts = others.Count
 	return &gate.Gate{
-		Settings: gate.Settings{
-			CallerAddress: s.CallerAddress,
-			ReadyAddress:  s.ReadyAddress,
-			StopTime:      s.Bounds.Stop,
-			ReadyAge:      s.Bounds.Revoke - keyMargin - readyMargin,
-		},
-		News:  n,
-		Pass:  p,
-		Crew:  others,
-		Clock: c,
-		Log:   l,
-		Count: counters,
+		Settings: gateSettings(s),
+		News:     n,
+		Pass:     p,
+		Crew:     others,
+		Clock:    c,
+		Log:      l,
+		Count:    counters,
 	}
 }
 
+func gateSettings(s platform.Settings) gate.Settings {
+	return gate.Settings{
+		CallerAddress: s.CallerAddress,
+		ReadyAddress:  s.ReadyAddress,
+		StopTime:      s.Bounds.Stop,
+		ReadyAge:      s.Bounds.Revoke - keyMargin - readyMargin,
+	}
+}
+
+func passBounds(s platform.Settings) pass.Bounds {
+	b := pass.Bounds{
+		RepeatRatio:  s.Bounds.RepeatRatio,
+		RepeatSlack:  s.Bounds.RepeatSlack,
+		RepeatWindow: s.Bounds.RepeatWindow,
+	}
+	if s.Bounds.RevokeStrict {
+		b.KeyAge = s.Bounds.Revoke - keyMargin
+	}
+	return b
+}
+
 // newPass makes what follows the manifest and what forwards by it.
-func newPass(s platform.Settings, c clock.Clock, l *log.Logger, counters *count.Set) (*pass.Pass, *news.News) {
+func newPass(s platform.Settings, c clock.Clock, l *logs.Limited, counters *count.Set) (*pass.Pass, *news.News) {
 	n := &news.News{
 		Store: platform.NewStore(s.StoreAddress),
 		Clock: c,
@@ -128,24 +154,21 @@
 		Log: l.WithPrefix("news"),
 	}
 	p := &pass.Pass{
-		Fields:  platform.Headers,
-		Clock:   c,
-		View:    n.View,
-		Age:     n.Age,
-		Client:  &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: pauseTimeout},
-		Placer:  place.New(place.Defaults()),
-		Repeats: retry.NewWindow(s.Bounds.RepeatRatio, s.Bounds.RepeatSlack, s.Bounds.RepeatWindow),
-		Log:     l.WithPrefix("pass"),
-		Count:   counters,
-	}
-	if s.Bounds.RevokeStrict {
-		p.KeyAge = s.Bounds.Revoke - keyMargin
+		Fields: platform.Headers,
+		Clock:  c,
+		View:   n.View,
+		Age:    n.Age,
+		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: pauseTimeout},
+		Placer: place.New(place.Defaults()),
+		Log:    l.WithPrefix("pass"),
+		Count:  counters,
 	}
+	p.Apply(passBounds(s))
 	return p, n
 }
 
 // newCrew makes what finds the other hosts and speaks with them.
-func newCrew(s platform.Settings, c clock.Clock, l *log.Logger, counters *count.Set) *gate.Crew {
+func newCrew(s platform.Settings, c clock.Clock, l *logs.Limited, plain *log.Logger, counters *count.Set) *gate.Crew {
 	g := &gate.Crew{
 		Crew: &crew.Crew{
 			Store: platform.NewStore(s.StoreAddress),
@@ -163,7 +186,7 @@
 			Name:        s.HostName,
 			Listen:      fmt.Sprintf("%s:%d", s.IP, s.PeerPort),
 			Clock:       c,
-			Log:         l.WithPrefix("link"),
+			Log:         plain.WithPrefix("link"),
 			Counters:    counters,
 			DialWait:    peerDialTimeout,
 			SilenceWait: peerSilence,
