Metrics of the platform path: one table of names, latencies by route, an address

Change: base/meter lists every counter, gauge and latency with unit and meaning; count.Set keeps HDR histograms, bounded in number; gate serves them at port 9464, which deploy/system.toml names.

--- a/internal/base/count/count.go
+++ b/internal/base/count/count.go
@@ -30,6 +30,7 @@
 // Set is a group of counters and gauges. It is safe for concurrent use.
 type Set struct {
 	registry metrics.Registry
+	spans    spans
 }
 
 // NewSet returns an empty Set.
@@ -106,7 +107,7 @@
 			return err
 		}
 	}
-	return nil
+	return s.spans.write(w)
 }
 
 func (s *Set) samples() []sample {
--- a/internal/base/logs/limited.go
+++ b/internal/base/logs/limited.go
@@ -7,6 +7,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/meter"
 )
 
 // The rate of each kind of line: about four times what one host of the users'
@@ -16,9 +17,6 @@
 	linesAtOnce    = 400
 )
 
-// leftOutTotal counts lines that were left out.
-const leftOutTotal = "siskinsaddle_log_lines_left_out_total"
-
 // Limited is a logger that bounds the lines of each kind. A kind is a line's
 // text. What was left out is counted and said in the next line of its kind.
 // Errors are written as one line, without their stack.
@@ -95,7 +93,7 @@
 	if k.left < 1 {
 		k.leftOut++
 		if m.count != nil {
-			m.count.Add(leftOutTotal, 1, count.Label{Key: "cause", Value: "Rate"})
+			m.count.Add(meter.LeftOut, 1, count.Label{Key: "cause", Value: "Rate"})
 		}
 		return 0, false
 	}
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -10,7 +10,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/charmbracelet/log"
 )
@@ -39,6 +38,10 @@
 	LevelError: log.ErrorLevel,
 }
 
+// timeFormat is RFC 3339 with milliseconds, so that lines of several hosts can
+// be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w. An unknown level logs as Info.
 func New(w io.Writer, level Level) *log.Logger {
 	at, ok := levels[level]
@@ -48,7 +51,7 @@
 	return log.NewWithOptions(w, log.Options{
 		Level:           at,
 		ReportTimestamp: true,
-		TimeFormat:      time.RFC3339,
+		TimeFormat:      timeFormat,
 	})
 }
 
--- /dev/null
+++ b/internal/base/meter/meter.go
@@ -0,0 +1,74 @@
+// Package meter names every counter, gauge and latency of a host that passes
+// requests through, each once, with its unit and meaning. docs/OPERATIONS.md's
+// table is made from this one.
+//
+// # Usage
+//
+//	set := count.NewSet()
+//	set.Add(meter.Requests, 1, meter.Label("outcome", "Served"))
+//	set.Observe(meter.FirstEvent, 212, meter.Label("route", "quote"))
+package meter
+
+import "siskinsaddle/internal/base/count"
+
+// The names.
+const (
+	Requests      = "siskinsaddle_requests_total"
+	Refused       = "siskinsaddle_refused_total"
+	Resends       = "siskinsaddle_resends_total"
+	Attempts      = "siskinsaddle_attempts_total"
+	BadRequests   = "siskinsaddle_bad_requests_total"
+	Panics        = "siskinsaddle_panics_total"
+	LeftOut       = "siskinsaddle_log_lines_left_out_total"
+	OpenRequests  = "siskinsaddle_open_requests"
+	Connections   = "siskinsaddle_caller_connections"
+	Manifest      = "siskinsaddle_manifest_version"
+	ManifestAge   = "siskinsaddle_manifest_age_milliseconds"
+	Servers       = "siskinsaddle_servers"
+	Hosts         = "siskinsaddle_hosts"
+	Ready         = "siskinsaddle_ready"
+	QueueTime     = "siskinsaddle_queue_milliseconds"
+	FirstEvent    = "siskinsaddle_first_event_milliseconds"
+	WholeAnswer   = "siskinsaddle_whole_answer_milliseconds"
+	LongestPause  = "siskinsaddle_longest_pause_milliseconds"
+	RepeatsLeft   = "siskinsaddle_repeats_left"
+	LinesQueueOut = "siskinsaddle_log_queue_left_out"
+)
+
+// Name is one entry of the table.
+type Name struct {
+	Name string
+	// Kind is Counter, Gauge or Latency, Unit what one is.
+	Kind   string
+	Unit   string
+	Labels string
+	// Meaning says what it tells an operator.
+	Meaning string
+}
+
+// Names is the table.
+var Names = []Name{
+	{Requests, "Counter", "requests", "outcome, route", "requests that ended, by how: Served, ServerFailed, Refused, BrokenOff, CallerGone"},
+	{Refused, "Counter", "requests", "reason, route", "refusals of this host, by reason"},
+	{Resends, "Counter", "attempts", "rule, cause", "further attempts after one that failed"},
+	{Attempts, "Counter", "attempts", "outcome, server", "attempts by how they ended at the server"},
+	{BadRequests, "Counter", "requests", "reason", "requests that could not be read"},
+	{Panics, "Counter", "requests", "", "requests whose handler panicked"},
+	{LeftOut, "Counter", "lines", "cause", "log lines above the rate of their kind"},
+	{LinesQueueOut, "Gauge", "lines", "", "log lines left out so far because the reader of the output stalled"},
+	{OpenRequests, "Gauge", "requests", "", "requests that are being answered"},
+	{Connections, "Gauge", "connections", "", "callers' connections"},
+	{Manifest, "Gauge", "version", "", "version of the manifest in force"},
+	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
+	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided"},
+	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
+	{Ready, "Gauge", "0 or 1", "", "whether the host asks for new connections"},
+	{RepeatsLeft, "Gauge", "attempts", "service", "repeats that this host may still send"},
+	{QueueTime, "Latency", "milliseconds", "route", "wait for a keeper's grant"},
+	{FirstEvent, "Latency", "milliseconds", "route", "arrival to the first event or the answer"},
+	{WholeAnswer, "Latency", "milliseconds", "route", "arrival to the end of the answer"},
+	{LongestPause, "Latency", "milliseconds", "route", "longest pause between two events of a stream"},
+}
+
+// Label makes one label.
+func Label(key, value string) count.Label { return count.Label{Key: key, Value: value} }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -26,6 +26,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/serve/inlet"
 	"siskinsaddle/internal/serve/pass"
 	"siskinsaddle/internal/serve/refuse"
@@ -37,6 +38,8 @@
 	// CallerAddress and ReadyAddress are "IP:port".
 	CallerAddress string
 	ReadyAddress  string
+	// MetricsAddress serves counters as text at any path, "" for nowhere.
+	MetricsAddress string
 	// StopTime is how long a stop may take, in milliseconds.
 	StopTime clock.Millis
 	// ReadyAge is the oldest confirmation of the manifest with which the host
@@ -67,6 +70,9 @@
 	Clock clock.Clock
 	Log   *logs.Limited
 	Count *count.Set
+	// LeftOut is the number of log lines that a stalled reader cost, nil where
+	// it is not counted.
+	LeftOut func() int64
 
 	inlet    *inlet.Inlet
 	ready    *fasthttp.Server
@@ -99,10 +105,57 @@
 	if err := g.startReady(); err != nil {
 		return err
 	}
+	if err := g.startMetrics(); err != nil {
+		return err
+	}
 	go g.News.Run(ctx)
 	return nil
 }
 
+// startMetrics answers with all counters, gauges and latencies.
+func (g *Gate) startMetrics() error {
+	if g.Settings.MetricsAddress == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", g.Settings.MetricsAddress)
+	if err != nil {
+		return errors.Wrap(err, "listening for metrics")
+	}
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
+		g.gauges()
+		c.SetContentType("text/plain; version=0.0.4")
+		if err := g.Count.WritePrometheus(c); err != nil {
+			g.Log.Warn("The metrics could not be written.", "err", err)
+		}
+	}}
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+			g.Log.Error("The metrics ended.", "err", err)
+		}
+	}()
+	return nil
+}
+
+func (g *Gate) gauges() {
+	v := g.News.View()
+	if v.Manifest != nil {
+		g.Count.Set(meter.Manifest, v.Manifest.Version())
+	}
+	g.Count.Set(meter.ManifestAge, int64(g.News.Age(g.Clock.Boot())))
+	g.Count.Set(meter.OpenRequests, int64(g.inlet.Open()))
+	g.Count.Set(meter.Connections, int64(g.inlet.Connections()))
+	g.Count.Set(meter.Hosts, int64(g.Pass.Hosts()))
+	ready := int64(0)
+	if g.Ready() {
+		ready = 1
+	}
+	g.Count.Set(meter.Ready, ready)
+	if g.LeftOut != nil {
+		g.Count.Set(meter.LinesQueueOut, g.LeftOut())
+	}
+	g.Pass.Gauges()
+}
+
 // Apply puts changed settings in force. The addresses stay those of the start.
 func (g *Gate) Apply(s Settings) { g.current.Store(&s) }
 
--- a/internal/serve/inlet/conn.go
+++ b/internal/serve/inlet/conn.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
-	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/serve/refuse"
 )
 
@@ -143,7 +143,7 @@
 func (c *conn) recovered(a *Answer) {
 	if p := recover(); p != nil {
 		c.inlet.Log.Error("A request's handler panicked.", "panic", p)
-		c.inlet.add("siskinsaddle_panics_total")
+		c.inlet.add(meter.Panics)
 		a.Abort()
 	}
 }
@@ -174,7 +174,7 @@
 }
 
 func (c *conn) refuse(a *Answer, refusal *refuse.Refusal) {
-	c.inlet.add("siskinsaddle_bad_requests_total", count.Label{Key: "reason", Value: string(refusal.Reason)})
+	c.inlet.add(meter.BadRequests, meter.Label("reason", string(refusal.Reason)))
 	if c.inlet.Refused != nil {
 		c.inlet.Refused(refusal)
 	}
--- a/internal/serve/pass/attempt.go
+++ b/internal/serve/pass/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/route"
@@ -34,6 +35,7 @@
 	p.mu.Lock()
 	p.Placer.Ended(p.Clock.Now(), choice.Server, j.place, r.outcome)
 	p.mu.Unlock()
+	p.Count.Add(meter.Attempts, 1, meter.Label("outcome", string(r.outcome)), meter.Label("server", choice.Server.ID))
 	if j.grant != "" {
 		p.Clerk.Ended(j.grant, r.outcome)
 		j.grant = ""
--- a/internal/serve/pass/job.go
+++ b/internal/serve/pass/job.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"siskinsaddle/internal/base/clock"
-	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/route"
@@ -55,6 +55,10 @@
 	waited clock.Millis
 	unread clock.Millis
 	server string
+	// eventAt is when the last event was passed on, longest the longest pause
+	// between two.
+	eventAt clock.Millis
+	longest clock.Millis
 }
 
 // whole is a complete answer of a server.
@@ -126,7 +130,7 @@
 	}
 	if action.Sends() {
 		j.log("Sends again.", "rule", rule.Name, "cause", r.cause, "server", j.server)
-		j.pass.Count.Add("siskinsaddle_resends_total", 1, count.Label{Key: "rule", Value: rule.Name}, count.Label{Key: "cause", Value: r.cause})
+		j.pass.Count.Add(meter.Resends, 1, meter.Label("rule", rule.Name), meter.Label("cause", r.cause))
 		return true
 	}
 	j.finish(action, r)
@@ -209,7 +213,7 @@
 		j.answer.CloseAfter()
 	}
 	j.answer.Refuse(r)
-	j.pass.Count.Add("siskinsaddle_refused_total", 1, count.Label{Key: "reason", Value: string(r.Reason)}, count.Label{Key: "route", Value: j.route.Name})
+	j.pass.Count.Add(meter.Refused, 1, meter.Label("reason", string(r.Reason)), meter.Label("route", j.route.Name))
 	j.end("Refused", string(r.Reason))
 }
 
@@ -220,10 +224,21 @@
 	if j.firstAt > 0 {
 		first = j.firstAt - j.arrived
 	}
-	j.pass.Count.Add("siskinsaddle_requests_total", 1, count.Label{Key: "outcome", Value: outcome}, count.Label{Key: "route", Value: j.route.Name})
+	route := meter.Label("route", j.route.Name)
+	j.pass.Count.Add(meter.Requests, 1, meter.Label("outcome", outcome), route)
+	if first >= 0 {
+		j.pass.Count.Observe(meter.FirstEvent, int64(first), route)
+		j.pass.Count.Observe(meter.WholeAnswer, int64(now-j.arrived), route)
+	}
+	if j.asks > 0 {
+		j.pass.Count.Observe(meter.QueueTime, int64(j.waited), route)
+	}
+	if j.longest > 0 {
+		j.pass.Count.Observe(meter.LongestPause, int64(j.longest), route)
+	}
 	j.log("Request ended.", "outcome", outcome, "cause", cause, "route", j.route.Name, "workspace", j.workspace,
-		"tier", j.tier, "manifest", j.manifest, "age", j.age, "server", j.server, "sends", j.sends,
-		"tokens", j.place.Tokens, "first", first, "took", now-j.arrived)
+		"tier", j.tier, "manifest", j.manifest, "age", j.age, "server", j.server, "sends", j.sends, "placed", j.reason,
+		"waited", j.waited, "unread", j.unread, "tokens", j.place.Tokens, "first", first, "pause", j.longest, "took", now-j.arrived)
 }
 
 func (j *job) log(text string, fields ...any) {
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -38,6 +38,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
@@ -151,6 +152,30 @@
 	}
 }
 
+// Gauges writes how servers and repeats stand into the counters.
+func (p *Pass) Gauges() {
+	now := p.Clock.Now()
+	view := p.View()
+	services := map[string]bool{}
+	leaving, avoided := 0, 0
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range view.Servers {
+		services[s.Service] = true
+		if s.Leaving {
+			leaving++
+		}
+	}
+	for service := range services {
+		avoided += len(p.Placer.Sick(now, service))
+		p.Count.Set(meter.RepeatsLeft, int64(p.Repeats.Left(now, service, p.Hosts())), meter.Label("service", service))
+	}
+	state := func(name string, n int) { p.Count.Set(meter.Servers, int64(n), meter.Label("state", name)) }
+	state("Leaving", leaving)
+	state("Avoided", avoided)
+	state("Usable", len(view.Servers)-leaving-avoided)
+}
+
 // Handle answers one request. It is an inlet's Handle.
 func (p *Pass) Handle(ctx context.Context, r *inlet.Request, a *inlet.Answer) {
 	j, refusal := p.admit(r)
--- a/internal/serve/pass/rig_test.go
+++ b/internal/serve/pass/rig_test.go
@@ -107,13 +107,6 @@
 	return r
 }
 
-// each gives all servers the same next acts.
-func (r *rig) each(acts ...origin.Act) {
-	for _, s := range r.servers {
-		s.Next(acts...)
-	}
-}
-
 // runs is how often a request ran anywhere.
 func (r *rig) runs(id string) int {
 	n := 0
--- a/internal/serve/pass/stream.go
+++ b/internal/serve/pass/stream.go
@@ -112,10 +112,14 @@
 	if j.grant != "" {
 		j.pass.Clerk.Started(j.grant)
 	}
+	now := j.pass.Clock.Now()
 	if j.begun {
+		j.longest = max(j.longest, now-j.eventAt)
+		j.eventAt = now
 		j.answer.Piece(events)
 		return
 	}
+	j.eventAt = now
 	j.begun = true
 	j.firstAt = j.pass.Clock.Now()
 	j.answer.Begin(answer.Status, passedOn(answer.Headers), events)
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -61,6 +61,8 @@
 	peerSilence     = 100 * clock.Millis(1)
 	// hostsTable is the table of the store in which hosts find one another.
 	hostsTable = "hosts"
+	// metricsPort is the one that deploy/system.toml names.
+	metricsPort = 9464
 	// dialTimeout is a hundred times a connection's making between failure
 	// domains, in milliseconds.
 	dialTimeout = 300 * clock.Millis(1)
@@ -88,6 +90,7 @@
 	defer stop()
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	g := newGate(s, c, l, plain, counters)
+	g.LeftOut = queue.LeftOut
 	following, end := context.WithCancel(context.Background())
 	defer end()
 	if err := g.Start(following); err != nil {
@@ -121,10 +124,11 @@
 
 func gateSettings(s platform.Settings) gate.Settings {
 	return gate.Settings{
-		CallerAddress: s.CallerAddress,
-		ReadyAddress:  s.ReadyAddress,
-		StopTime:      s.Bounds.Stop,
-		ReadyAge:      s.Bounds.Revoke - keyMargin - readyMargin,
+		CallerAddress:  s.CallerAddress,
+		ReadyAddress:   s.ReadyAddress,
+		MetricsAddress: fmt.Sprintf("%s:%d", s.IP, metricsPort),
+		StopTime:       s.Bounds.Stop,
+		ReadyAge:       s.Bounds.Revoke - keyMargin - readyMargin,
 	}
 }
 
