--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -121,7 +121,7 @@
 		Again:          1,
 		ShortTokens:    4_000,
 		ShortWeight:    3,
-		OtherGroup:     300,
+		OtherGroup:     1_000,
 		PerRunning:     4,
 		LeastTail:      1_200,
 		ReadWeight:     1,
--- a/internal/policy/grant/grant_test.go
+++ b/internal/policy/grant/grant_test.go
@@ -212,3 +212,23 @@
 	c.Assert(refused > 20, qt.IsTrue)
 	c.Assert(k.Waiting() > 10, qt.IsTrue)
 }
+
+// The first answers of a day to short prompts still run when long prompts come.
+// They must not have one token for each piece of those.
+func TestShortPromptsAreApartFromTheBeginning(t *testing.T) {
+	c := qt.New(t)
+	k := core(8)
+	used := map[string]bool{}
+	for i := range 3 {
+		id := fmt.Sprint("c", i)
+		k.Ask(0, chat(id))
+		used[one(c, k.Next(0)).Server] = true
+		k.Started(20, id)
+	}
+	for i := range 10 {
+		k.Ask(50, review(fmt.Sprint("r", i), fmt.Sprint("thing", i)))
+		for _, d := range k.Next(50) {
+			c.Assert(used[d.Server], qt.IsFalse)
+		}
+	}
+}
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -51,9 +51,17 @@
 
 func (c *Core) short(k *class) bool { return k.tokens < c.settings.ShortTokens }
 
+// Before there was work, servers are dealt out as if this much of it had been
+// seen, in milliseconds, with this share of short prompts: an answer to a short
+// prompt that begins before the first long one comes is still running then.
+const (
+	priorWork  = 200.0
+	priorShort = 0.1
+)
+
 // shortServers is how many servers the short classes get of n.
 func (c *Core) shortServers(now clock.Millis, n int) int {
-	short, long := 0.0, 0.0
+	short, long := priorWork*priorShort, priorWork*(1-priorShort)
 	for _, k := range c.classes {
 		k.fade(now)
 		if c.short(k) {
@@ -62,7 +70,7 @@
 			long += k.work
 		}
 	}
-	if n < 2 || short == 0 || long == 0 {
+	if n < 2 {
 		return 0
 	}
 	short *= c.settings.ShortWeight
