--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -105,6 +105,9 @@
 	// PerRunning is the price of each request that runs on the server, in
 	// milliseconds.
 	PerRunning float64
+	// PerShort is the price for a long prompt of each answer to a short one that
+	// runs on the server, in milliseconds.
+	PerShort float64
 	// LeastTail is the time below which an answer cannot be given any more, in
 	// milliseconds.
 	LeastTail clock.Millis
@@ -121,9 +124,10 @@
 		Again:          1,
 		ShortTokens:    4_000,
 		ShortWeight:    3,
-		OtherGroup:     1_000,
+		OtherGroup:     300,
 		PerRunning:     4,
 		LeastTail:      1_200,
+		PerShort:       50,
 		ReadWeight:     1,
 	}
 }
@@ -151,6 +155,8 @@
 	// alone tells that nothing else was being read, so that its first event
 	// shows the pace.
 	alone bool
+	// short tells that it was given out as one of a short class.
+	short bool
 }
 
 // Core decides for one service. Take New; it is not safe for concurrent use.
@@ -278,7 +284,7 @@
 	if !g.started {
 		s.read(now, g)
 	}
-	s.end()
+	s.end(g)
 	c.judge(now, g, o)
 	if o == place.OutcomeServed || (g.started && o == place.OutcomeCancelled) {
 		for _, p := range place.Shared(g.Parts) {
@@ -404,6 +410,7 @@
 func (c *Core) give(now clock.Millis, a Ask, until clock.Millis, s *server) *granted {
 	fresh := s.fresh(a.Parts, a.Tokens)
 	g := &granted{Ask: a, server: s, at: now, until: until, fresh: fresh, read: c.readTime(fresh)}
+	g.short = c.short(c.class(a.Class))
 	g.alone = len(s.unread) == 0
 	for _, other := range s.unread {
 		other.alone = false
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -55,8 +55,8 @@
 // seen, in milliseconds, with this share of short prompts: an answer to a short
 // prompt that begins before the first long one comes is still running then.
 const (
-	priorWork  = 200.0
-	priorShort = 0.1
+	priorWork  = 5_000.0
+	priorShort = 0.07
 )
 
 // shortServers is how many servers the short classes get of n.
@@ -263,6 +263,9 @@
 		if shorts > 0 && short != (i < shorts) {
 			o.cost += c.settings.OtherGroup
 		}
+		if !short {
+			o.cost += c.settings.PerShort * float64(s.shorts)
+		}
 		if !found || o.cost < best.cost {
 			best, found = o, true
 		}
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -13,6 +13,8 @@
 	// all that are there.
 	unread  []*granted
 	running int
+	// shorts are those of short classes among them.
+	shorts int
 	// since is when reading last began or got through with a prompt.
 	since clock.Millis
 	// pauseUntil is the end of the pause that the server owes its answers.
@@ -87,6 +89,9 @@
 	}
 	s.unread = append(s.unread, g)
 	s.running++
+	if g.short {
+		s.shorts++
+	}
 }
 
 // read takes a request out of those whose prompts are not read.
@@ -100,7 +105,12 @@
 	}
 }
 
-func (s *server) end() { s.running-- }
+func (s *server) end(g *granted) {
+	s.running--
+	if g.short {
+		s.shorts--
+	}
+}
 
 // owe puts a pause between what was read and the next long prompt.
 func (s *server) owe(now clock.Millis, pause float64) {
