A stop hands off requests that wait for a server; tests of a whole host

Cause: a request that waited at the keeper when its host stopped was cut off at the end of the stop. The crew knows its own host at once. Tests: whole hosts on sockets with a store, servers, faults and the logs' story.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -183,6 +183,13 @@
 		if err != nil {
 			return
 		}
+		if r.Header.Get(o.Fields.RequestID) == "" {
+			// A question about the server itself, which this one does not answer.
+			if !o.plain(c, 404, "", "", "") {
+				return
+			}
+			continue
+		}
 		act := o.take(r)
 		if act != Early {
 			var body bytes.Buffer
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -220,6 +220,7 @@
 		}
 		if !closed && passed(min(idleTime, until/2)) {
 			closed = true
+			g.Pass.HandOff()
 			if err := g.inlet.Close(); err != nil {
 				g.Log.Warn("The listener could not be closed.", "err", err)
 			}
--- a/internal/serve/pass/choose.go
+++ b/internal/serve/pass/choose.go
@@ -22,6 +22,9 @@
 		if err == nil {
 			return choice, refusal
 		}
+		if j.pass.handOff.Err() != nil {
+			return choice, refuse.New(refuse.ReasonStopping).WithRetryAfter(leastRetryAfter)
+		}
 		if !errors.Is(err, clerk.ErrNoKeeper) {
 			return choice, refuse.New(refuse.ReasonOutOfTime)
 		}
@@ -64,7 +67,10 @@
 		Left:   j.until - now,
 		Avoid:  avoid,
 	}
-	d, err := p.Clerk.Ask(ctx, j.service, a)
+	waiting, done := context.WithCancel(ctx)
+	defer done()
+	defer context.AfterFunc(p.handOff, done)()
+	d, err := p.Clerk.Ask(waiting, j.service, a)
 	if err != nil {
 		return place.Choice{}, nil, err
 	}
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -102,7 +102,10 @@
 	// keyAge is the oldest confirmation under which keys are let through, in
 	// milliseconds, 0 for any.
 	keyAge atomic.Int64
-	mu     sync.Mutex
+	// handOff ends when requests that wait for a server are to go elsewhere.
+	handOff context.Context
+	begin   context.CancelFunc
+	mu      sync.Mutex
 	// dropped are the fields of a caller that are not passed on.
 	dropped map[string]bool
 }
@@ -110,6 +113,7 @@
 // Run prepares the tables that depend on Fields. It is called once, before
 // Handle.
 func (p *Pass) Run() {
+	p.handOff, p.begin = context.WithCancel(context.Background())
 	p.dropped = map[string]bool{}
 	own := append([]string{p.Fields.Key, p.Fields.Workspace, p.Fields.Server, p.Fields.Urgency, p.Fields.TimeLeft, p.Fields.NotRun}, p.Fields.OnlyTheSystem...)
 	for _, f := range own {
@@ -142,6 +146,10 @@
 	}
 }
 
+// HandOff refuses the requests that wait for a server, now and from now on: a
+// host that stops could not see them to their end. They have not run.
+func (p *Pass) HandOff() { p.begin() }
+
 // SetServers hands a new list of servers to the placing.
 func (p *Pass) SetServers(all []fleet.Server) {
 	p.mu.Lock()
--- a/internal/share/clerk/clerk.go
+++ b/internal/share/clerk/clerk.go
@@ -256,6 +256,15 @@
 	return c.seen.holder(service, part)
 }
 
+// Waiting is the number of requests that wait here while this host is the
+// service's keeper.
+func (c *Clerk) Waiting(service string) int {
+	d := c.desk(service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Waiting()
+}
+
 func (c *Clerk) note(service, keeper, id string, kind noteKind, o place.Outcome) {
 	n := noteMessage{Service: service, ID: id, Kind: kind, Outcome: o}
 	if keeper == c.Self {
--- a/internal/share/crew/crew.go
+++ b/internal/share/crew/crew.go
@@ -100,9 +100,25 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	c.addSelf()
 	return secret, reply.Version, nil
 }
 
+// addSelf puts this host among the members, whose records were read before its
+// own was written.
+func (c *Crew) addSelf() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := []Member{c.Self}
+	for _, m := range c.members {
+		if m.Name != c.Self.Name {
+			members = append(members, m)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	c.members = members
+}
+
 // makeSecret writes a new secret unless another host did so meanwhile.
 func (c *Crew) makeSecret(ctx context.Context) ([]byte, error) {
 	secret := make([]byte, secretBytes)
--- a/internal/tools/story/cause.go
+++ b/internal/tools/story/cause.go
@@ -23,6 +23,7 @@
 		"UnknownPath": "no route of the manifest of that version has this host name and path",
 		"Full":        "demand exceeded capacity: after waited milliseconds with its keeper no engine could begin in time, or the servers themselves refused; it has not run",
 		"NoServer":    "no backend server of the service could be reached or was left to try; it has not run",
+		"Stopping":    "the host was stopping and no server had been found yet; it has not run",
 		"OutOfTime":   "the caller's time was over before a server was found; it has not run",
 		"TimedOut":    "the server that got the request did not answer within the route's time limit; it may have run",
 		"BackendFailed": "the connection to the server that got the request ended without an answer. The request may have run, and may not be repeated, so that its outcome is unknown. " +
--- /dev/null
+++ b/internal/tools/verbs/front_test.go
@@ -0,0 +1,346 @@
+package verbs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/fakes/shelf"
+	"siskinsaddle/internal/serve/gate"
+	"siskinsaddle/internal/tools/story"
+	"siskinsaddle/platform"
+)
+
+const frontManifest = `{"version": 3,
+ "routes": [
+  {"name": "chat", "host": "a.example", "prefix": "/chat/", "kind": "streaming", "timeout_ms": 8000, "goal_ms": 500, "priority": 0, "service": "llm", "max_attempts": 1, "sticky": true, "gap_target_ms": 500},
+  {"name": "booking", "host": "a.example", "prefix": "/booking/", "kind": "unsafe", "timeout_ms": 2000, "goal_ms": 300, "priority": 2, "service": "app", "max_attempts": 1}],
+ "services": [{"name": "llm", "health_path": "/health", "max_conns": 360, "engine": {"slots": 64, "kv_tokens": 557973}}, {"name": "app", "health_path": "/health", "max_conns": 100}],
+ "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+ "tenants": [{"name": "stall", "api_keys": ["right"], "priority": 1}]}`
+
+// buffer takes a host's log.
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// site is a store, servers and hosts, on sockets.
+type site struct {
+	c     *qt.C
+	shelf *shelf.Shelf
+	store string
+	chat  *origin.Origin
+	app   *origin.Origin
+	hosts []*frontHost
+}
+
+type frontHost struct {
+	gate     *gate.Gate
+	log      *buffer
+	settings platform.Settings
+	file     string
+	end      func()
+}
+
+func freePort(c *qt.C, ip string) int {
+	l, err := net.Listen("tcp", ip+":0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newSite(c *qt.C, hosts int) *site {
+	s := &site{c: c, shelf: shelf.New(clock.System())}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &fasthttp.Server{Handler: platform.ServeStore(s.shelf.For("any"))}
+	go func() { _ = server.Serve(l) }()
+	c.Cleanup(func() { _ = l.Close() })
+	s.store = l.Addr().String()
+	s.chat = &origin.Origin{ID: "i-chat", Fields: platform.Headers, Stream: true}
+	s.app = &origin.Origin{ID: "i-app", Fields: platform.Headers}
+	for service, o := range map[string]*origin.Origin{"llm": s.chat, "app": s.app} {
+		c.Assert(o.Start(), qt.IsNil)
+		c.Cleanup(o.Stop)
+		record, err := json.Marshal(map[string]any{"service": service, "address": o.Bound(), "zone": "a", "slots": 64, "state": "ready"})
+		c.Assert(err, qt.IsNil)
+		s.shelf.Put(platform.ServersTable, o.ID, record)
+	}
+	s.shelf.Put(platform.OperatorTable, "config", []byte(frontManifest))
+	for i := range hosts {
+		s.start(fmt.Sprintf("127.0.0.%d", i+2))
+	}
+	return s
+}
+
+func (s *site) start(ip string) {
+	c := s.c
+	text := fmt.Sprintf(`{"node_name": "host-%[1]s", "ip": "%[1]s", "zone": "a", "region": "r", "port_range": [%[2]d, %[2]d],
+	  "listen": {"front": "%[1]s:%[3]d", "ready": "%[1]s:%[4]d"}, "limits": {"cpu_share": 1, "cores": 1, "memory_mb": 284, "max_fds": 4100},
+	  "bounds": {"grace_s": 3, "config_apply_ms": 2000, "strict_revoke": true, "revoke_ms": 5000, "budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 54},
+	  "provider": {"address": "%[5]s"}}`, ip, freePort(c, ip), freePort(c, ip), freePort(c, ip), s.store)
+	h := &frontHost{log: &buffer{}, file: filepath.Join(c.TempDir(), "settings.json")}
+	c.Assert(os.WriteFile(h.file, []byte(text), 0o600), qt.IsNil)
+	var err error
+	h.settings, err = platform.Load(h.file)
+	c.Assert(err, qt.IsNil)
+	clk, set := clock.System(), count.NewSet()
+	plain := logs.New(h.log, logs.LevelInfo)
+	h.gate = newGate(h.settings, clk, logs.Limit(plain, clk, set), plain, set)
+	h.gate.Settings.MetricsAddress = ""
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	c.Assert(h.gate.Start(ctx), qt.IsNil)
+	h.end = sync.OnceFunc(h.gate.Stop)
+	c.Cleanup(h.end)
+	for !h.gate.Ready() || len(h.gate.Crew.Members()) == 0 {
+		time.Sleep(time.Millisecond) // hangs where the host never becomes ready
+	}
+	s.hosts = append(s.hosts, h)
+}
+
+// ask sends one request to a host and returns its status and body, and whether
+// the answer was whole.
+func (s *site) ask(host int, path, id, more string) (int, string, bool) {
+	c := s.c
+	conn, err := net.Dial("tcp", s.hosts[host].settings.CallerAddress)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nX-Api-Key: right\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n%s\r\n", path, id, more)
+	c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(body), err == nil
+}
+
+// cause reads the hosts' logs as docs/OPERATIONS.md tells.
+func (s *site) cause(id string) story.Cause {
+	// The line follows the answer; the loop hangs where it never comes.
+	for !s.logged("id=" + id + " outcome=") {
+		time.Sleep(time.Millisecond)
+	}
+	var sources []story.Source
+	for i, h := range s.hosts {
+		sources = append(sources, story.Source{Name: fmt.Sprint("host ", i), Reader: strings.NewReader(h.log.String())})
+	}
+	told, err := story.Read(sources, id)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(told.Lines, qt.Not(qt.HasLen), 0)
+	s.c.Assert(told.Beliefs, qt.Not(qt.HasLen), 0)
+	var out strings.Builder
+	s.c.Assert(told.Write(&out), qt.IsNil)
+	s.c.Assert(strings.Contains(out.String(), id), qt.IsTrue)
+	return told.Cause()
+}
+
+func (s *site) logged(text string) bool {
+	for _, h := range s.hosts {
+		if strings.Contains(h.log.String(), text) {
+			return true
+		}
+	}
+	return false
+}
+
+const promptFields = "Token-Counts: 1460,80\r\nPrompt-Prefix: 5c1e:350,91bd:1110\r\nModel: m\r\n"
+
+func TestTheWholePath(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, 2)
+	for i := range 4 {
+		status, body, whole := s.ask(i%2, "/chat/1", fmt.Sprint("chat", i), promptFields)
+		c.Assert(status, qt.Equals, 200)
+		c.Assert(whole, qt.IsTrue)
+		c.Assert(body, qt.Equals, origin.Whole())
+		status, body, _ = s.ask(i%2, "/booking/1", fmt.Sprint("booking", i), "")
+		c.Assert(status, qt.Equals, 200)
+		c.Assert(body, qt.Equals, "answer of i-app")
+	}
+	c.Assert(s.cause("chat0").Outcome, qt.Equals, "Served")
+	seen := s.chat.Seen()
+	last := seen[len(seen)-1]
+	c.Assert(last.Header.Get("Tenant"), qt.Equals, "stall")
+	c.Assert(last.Header.Get("Expect-Instance"), qt.Equals, "i-chat")
+	c.Assert(last.Header.Get("Request-Urgency"), qt.Equals, "3")
+	c.Assert(last.Header.Get("X-Api-Key"), qt.Equals, "")
+}
+
+// Three kinds of failed requests, each explained from the hosts' logs alone.
+func TestTheCauseOfAFailedRequestIsInTheLogs(t *testing.T) {
+	for _, test := range []struct {
+		name, path, more string
+		act              origin.Act
+		status           int
+		outcome, cause   string
+	}{
+		{"an unsafe call whose answer was lost", "/booking/1", "", origin.Reset, 502, "Refused", "BackendFailed"},
+		{"a stream that broke with its server", "/chat/1", promptFields, origin.Tear, 200, "BrokenOff", "Broken"},
+		{"a refusal of a full server", "/chat/1", promptFields, origin.NotRun, 503, "Refused", "Full"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSite(c, 2)
+			s.chat.Next(test.act)
+			s.app.Next(test.act)
+			status, _, whole := s.ask(1, test.path, "failed1", test.more)
+			c.Assert(status, qt.Equals, test.status)
+			c.Assert(whole, qt.Equals, test.outcome != "BrokenOff")
+			got := s.cause("failed1")
+			c.Assert(got.Outcome, qt.Equals, test.outcome)
+			c.Assert(got.Name, qt.Equals, test.cause)
+			c.Assert(got.Meaning, qt.Not(qt.Equals), "")
+		})
+	}
+}
+
+// A key that is withdrawn is refused within the bound, also by a host that the
+// store turns away: it then refuses every key, and says that it did not run.
+func TestAWithdrawnKeyIsNotLetThroughPastItsBound(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, 1)
+	status, _, _ := s.ask(0, "/booking/1", "before", "")
+	c.Assert(status, qt.Equals, 200)
+	s.shelf.Set(shelf.Faults{Away: true})
+	withdrawn := time.Now()
+	s.shelf.Put(platform.OperatorTable, "config", []byte(strings.Replace(frontManifest, `"right"`, `"other"`, 1)))
+	for n := 0; ; n++ {
+		sent := time.Since(withdrawn)
+		id := fmt.Sprint("after", n)
+		status, _, _ := s.ask(0, "/booking/1", id, "")
+		if status == 503 {
+			c.Assert(s.cause(id).Name, qt.Equals, "Unconfirmed")
+			break
+		}
+		c.Assert(status, qt.Equals, 200)
+		c.Assert(sent < 5*time.Second, qt.IsTrue)
+		time.Sleep(10 * time.Millisecond) // keeps below the rate of log lines
+	}
+	c.Assert(s.hosts[0].gate.Ready(), qt.IsFalse)
+	s.shelf.Set(shelf.Faults{})
+	for status := 503; status != 401; {
+		time.Sleep(10 * time.Millisecond)
+		status, _, _ = s.ask(0, "/booking/1", "late", "")
+		c.Assert(status == 503 || status == 401, qt.IsTrue)
+	}
+}
+
+// A planned stop answers what was taken and becomes unready at once.
+func TestAStopFinishesWhatWasTaken(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, 1)
+	conn, err := net.Dial("tcp", s.hosts[0].settings.CallerAddress)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /chat/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: open\r\nX-Api-Key: right\r\nContent-Length: 0\r\n%s\r\n", promptFields)
+	c.Assert(err, qt.IsNil)
+	for s.chat.Runs("open") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan bool)
+	go func() {
+		s.hosts[0].end()
+		close(stopped)
+	}()
+	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(answer.Body)
+	c.Assert(err, qt.IsNil)
+	_ = answer.Body.Close()
+	c.Assert(string(body), qt.Equals, origin.Whole())
+	c.Assert(s.hosts[0].gate.Ready(), qt.IsFalse)
+	<-stopped
+	c.Assert(s.cause("open").Outcome, qt.Equals, "Served")
+	_, err = net.DialTimeout("tcp", s.hosts[0].settings.CallerAddress, time.Second)
+	c.Assert(err, qt.Not(qt.IsNil))
+}
+
+func TestSettingsAreReloadedAsAWhole(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, 1)
+	h := s.hosts[0]
+	out := &buffer{}
+	r := &reloader{file: h.file, current: h.settings, gate: h.gate, clock: clock.System(), log: logs.Limit(logs.New(out, logs.LevelInfo), clock.System(), nil)}
+	text, err := os.ReadFile(h.file)
+	c.Assert(err, qt.IsNil)
+	write := func(old, next string) {
+		c.Assert(os.WriteFile(h.file, bytes.Replace(text, []byte(old), []byte(next), 1), 0o600), qt.IsNil)
+		r.reload("SIGHUP")
+	}
+	write(`"revoke_ms": 5000`, `"revoke_ms": 4000`)
+	c.Assert(r.current.Bounds.Revoke, qt.Equals, clock.Millis(4_000))
+	c.Assert(strings.Contains(out.String(), "Settings applied."), qt.IsTrue)
+	write(`"zone": "a"`, `"zone": "b"`)
+	write(`"revoke_ms": 5000`, `"revoke_ms": "x"`)
+	c.Assert(r.current.Bounds.Revoke, qt.Equals, clock.Millis(4_000))
+	c.Assert(strings.Count(out.String(), "were refused"), qt.Equals, 2)
+	c.Assert(strings.Contains(out.String(), "failure domain"), qt.IsTrue)
+	c.Assert(strings.Contains(out.String(), "revoke_ms"), qt.IsTrue)
+}
+
+// A request that still waits for a server when its host stops is refused as not
+// run, in time to go elsewhere.
+func TestAStopHandsOffWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, 1)
+	s.chat.Always(origin.Silent)
+	long := "Token-Counts: 17000,80\r\nPrompt-Prefix: 5c1e:13300,91bd:3700\r\nModel: m\r\n"
+	first := make(chan bool)
+	go func() {
+		conn, err := net.Dial("tcp", s.hosts[0].settings.CallerAddress)
+		if err == nil {
+			_, _ = fmt.Fprintf(conn, "POST /chat/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: first\r\nX-Api-Key: right\r\nContent-Length: 0\r\n%s\r\n", long)
+			<-first
+			_ = conn.Close()
+		}
+	}()
+	for s.chat.Runs("first") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	waited := make(chan int)
+	go func() {
+		status, _, _ := s.ask(0, "/chat/1", "waits", long)
+		waited <- status
+	}()
+	for s.hosts[0].gate.Pass.Clerk.Waiting("llm") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go s.hosts[0].end()
+	c.Assert(<-waited, qt.Equals, 503)
+	c.Assert(s.chat.Runs("waits"), qt.Equals, 0)
+	close(first)
+	c.Assert(s.cause("waits").Name, qt.Equals, "Stopping")
+}
