--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -9,7 +9,12 @@
 //	set.Observe(meter.FirstEvent, 212, meter.Label("route", "quote"))
 package meter
 
-import "siskinsaddle/internal/base/count"
+import (
+	"fmt"
+	"strings"
+
+	"siskinsaddle/internal/base/count"
+)
 
 // The names.
 const (
@@ -72,3 +77,13 @@
 
 // Label makes one label.
 func Label(key, value string) count.Label { return count.Label{Key: key, Value: value} }
+
+// Table is the table of docs/OPERATIONS.md, as Markdown.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| name | kind | unit | labels | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, n := range Names {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", n.Name, n.Kind, n.Unit, n.Labels, n.Meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/base/meter/meter_test.go
@@ -0,0 +1,44 @@
+package meter_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/meter"
+)
+
+// The page's table is this one. On a difference, paste what the test prints.
+func TestTheOperationsPageHasTheTable(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	c.Assert(err, qt.IsNil)
+	if !strings.Contains(string(page), meter.Table()) {
+		t.Fatalf("docs/OPERATIONS.md lacks the table:\n%s", meter.Table())
+	}
+}
+
+func TestNamesAreListedOnce(t *testing.T) {
+	c := qt.New(t)
+	seen := map[string]bool{}
+	for _, n := range meter.Names {
+		c.Assert(seen[n.Name], qt.IsFalse, qt.Commentf("%s", n.Name))
+		seen[n.Name] = true
+		c.Assert(n.Meaning == "" || n.Unit == "" || n.Kind == "", qt.IsFalse)
+	}
+}
+
+func TestLatenciesAreBoundedInNumber(t *testing.T) {
+	c := qt.New(t)
+	set := count.NewSet()
+	for i := range 1_000 {
+		set.Observe(meter.FirstEvent, int64(i), meter.Label("route", strings.Repeat("r", i+1)))
+	}
+	var out strings.Builder
+	c.Assert(set.WritePrometheus(&out), qt.IsNil)
+	c.Assert(strings.Count(out.String(), meter.FirstEvent+"_count") <= 97, qt.IsTrue)
+	c.Assert(set.Observed(meter.FirstEvent), qt.Equals, int64(1_000-96))
+}
