--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -222,7 +222,7 @@
 
 // Ask queues a request. Next decides on it.
 func (c *Core) Ask(now clock.Millis, a Ask) {
-	c.class(a.Class).asked(now, a)
+	c.class(a.Class).asked(a)
 	c.queue = append(c.queue, &asked{Ask: a, at: now, until: now + a.Left})
 }
 
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -32,7 +32,8 @@
 	return c.classes[name]
 }
 
-func (k *class) asked(_ clock.Millis, a Ask) {
+// asked counts a request in.
+func (k *class) asked(a Ask) {
 	k.count++
 	share := max(meanShare, 1/float64(k.count))
 	k.tokens += share * (float64(a.Tokens) - k.tokens)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -13,8 +13,8 @@
 //	p := place.New(place.Defaults())
 //	p.SetServers(servers)
 //	choice, ok := p.Choose(now, job)
-//	p.Sent(choice.Server, job)
-//	p.Ended(now, choice.Server, job, place.OutcomeServed)
+//	p.Sent(choice.Server)
+//	p.Ended(now, choice.Server, place.OutcomeServed)
 package place
 
 import (
@@ -105,7 +105,6 @@
 // state is what this host knows of one server.
 type state struct {
 	open   int
-	unread int
 	health Health
 }
 
@@ -303,15 +302,13 @@
 func (p *Placer) Open(s fleet.Server) int { return p.state(s).open }
 
 // Sent notes that a request is on its way to a server.
-func (p *Placer) Sent(s fleet.Server, j Job) {
+func (p *Placer) Sent(s fleet.Server) {
 	p.state(s).open++
-	p.state(s).unread += j.Tokens
 }
 
 // Ended notes how a request ended at a server.
-func (p *Placer) Ended(now clock.Millis, s fleet.Server, j Job, o Outcome) {
+func (p *Placer) Ended(now clock.Millis, s fleet.Server, o Outcome) {
 	st := p.state(s)
 	st.open--
-	st.unread -= j.Tokens
 	st.health.Note(now, o)
 }
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -79,7 +79,7 @@
 	for i := range 9 {
 		j := place.Job{Service: "llm", Draw: float64(i) / 9}
 		choice, _ := p.Choose(0, j)
-		p.Sent(choice.Server, j)
+		p.Sent(choice.Server)
 		open[choice.Server.ID]++
 	}
 	c.Assert(open, qt.DeepEquals, map[string]int{"s0": 3, "s1": 3, "s2": 3})
@@ -90,8 +90,8 @@
 	p := placer(2)
 	j := place.Job{Service: "llm"}
 	choice, _ := p.Choose(0, j)
-	p.Sent(choice.Server, j)
-	p.Ended(0, choice.Server, j, place.OutcomeSilent)
+	p.Sent(choice.Server)
+	p.Ended(0, choice.Server, place.OutcomeSilent)
 	bad := choice.Server.ID
 	for range 5 {
 		other, _ := p.Choose(100, j)
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -84,7 +84,7 @@
 // Start listens and begins to follow the news, until the context ends.
 func (g *Gate) Start(ctx context.Context) error {
 	g.Apply(g.Settings)
-	g.Pass.Run()
+	g.Pass.Prepare()
 	if g.Crew != nil {
 		g.Crew.Clerk.Register()
 		go g.Crew.run(ctx, g.Log)
--- a/internal/serve/pass/attempt.go
+++ b/internal/serve/pass/attempt.go
@@ -23,7 +23,7 @@
 	j.place.Avoid = append(j.place.Avoid, choice.Server.ID)
 	now := p.Clock.Now()
 	p.mu.Lock()
-	p.Placer.Sent(choice.Server, j.place)
+	p.Placer.Sent(choice.Server)
 	if j.sends == 0 && len(j.place.Avoid) == 1 {
 		p.Repeats.Requested(now, j.service)
 	}
@@ -33,7 +33,7 @@
 		r.outcome = place.OutcomeCancelled
 	}
 	p.mu.Lock()
-	p.Placer.Ended(p.Clock.Now(), choice.Server, j.place, r.outcome)
+	p.Placer.Ended(p.Clock.Now(), choice.Server, r.outcome)
 	p.mu.Unlock()
 	p.Count.Add(meter.Attempts, 1, meter.Label("outcome", string(r.outcome)), meter.Label("server", choice.Server.ID))
 	if j.grant != "" {
--- a/internal/serve/pass/pass.go
+++ b/internal/serve/pass/pass.go
@@ -24,6 +24,7 @@
 //		Count:  count.NewSet(),
 //	}
 //	p.Apply(pass.Bounds{RepeatRatio: 0.2, RepeatSlack: 54, RepeatWindow: 10 * clock.Second})
+//	p.Prepare()
 //	i := &inlet.Inlet{Handle: p.Handle}
 package pass
 
@@ -71,12 +72,9 @@
 	// ServerStamp marks answers of servers.
 	ServerStamp string
 	// PromptParts lists NAME:TOKENS with commas, TokenCounts the tokens of the
-	// prompt and the most that may be made, LengthHint a guess of the latter.
+	// prompt and the most that may be made.
 	PromptParts string
 	TokenCounts string
-	LengthHint  string
-	// OtherServer names the server that refused a request meant for another.
-	OtherServer string
 	// OnlyTheSystem are fields that callers may not set.
 	OnlyTheSystem []string
 }
@@ -110,9 +108,9 @@
 	dropped map[string]bool
 }
 
-// Run prepares the tables that depend on Fields. It is called once, before
+// Prepare makes the tables that depend on Fields. It is called once, before
 // Handle.
-func (p *Pass) Run() {
+func (p *Pass) Prepare() {
 	p.handOff, p.begin = context.WithCancel(context.Background())
 	p.dropped = map[string]bool{}
 	own := append([]string{p.Fields.Key, p.Fields.Workspace, p.Fields.Server, p.Fields.Urgency, p.Fields.TimeLeft, p.Fields.NotRun}, p.Fields.OnlyTheSystem...)
--- a/internal/serve/pass/rig_test.go
+++ b/internal/serve/pass/rig_test.go
@@ -92,7 +92,7 @@
 		Count:  r.count,
 	}
 	r.pass.Apply(pass.Bounds{KeyAge: 4_000, RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10_000})
-	r.pass.Run()
+	r.pass.Prepare()
 	r.pass.SetServers(list)
 	r.inlet = &inlet.Inlet{
 		Address: "127.0.0.1:0",
--- a/internal/share/clerk/clerk.go
+++ b/internal/share/clerk/clerk.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -123,7 +124,7 @@
 	defer c.mu.Unlock()
 	delete(c.resting, p.Name)
 	for key := range c.reported {
-		if key == p.Name || len(key) > len(p.Name) && key[:len(p.Name)+1] == p.Name+"/" {
+		if strings.HasPrefix(key, p.Name+"/") {
 			delete(c.reported, key)
 		}
 	}
