Log lines without a terminal's form: a fifteenth of the cost

Ruled out: writes and wake-ups of the queue; the time goes into styling. Change: front writes the library's logfmt form, 11 us a line; explain reads it.

--- a/internal/base/logs/limited_test.go
+++ b/internal/base/logs/limited_test.go
@@ -92,7 +92,7 @@
 	}
 	close(out.open)
 	q.Close(clock.System(), 60*clock.Second)
-	c.Assert(strings.Contains(out.String(), "Lines were left out. cause=Queue"), qt.IsTrue)
+	c.Assert(strings.Contains(out.String(), `msg="Lines were left out." cause=Queue`), qt.IsTrue)
 }
 
 // gate is a writer that stalls until it is opened.
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -44,6 +44,16 @@
 
 // New returns a logger that writes to w. An unknown level logs as Info.
 func New(w io.Writer, level Level) *log.Logger {
+	return newLogger(w, level, log.TextFormatter)
+}
+
+// NewPlain is New without anything for a terminal: key=value only, which takes
+// a fifteenth of the time to write.
+func NewPlain(w io.Writer, level Level) *log.Logger {
+	return newLogger(w, level, log.LogfmtFormatter)
+}
+
+func newLogger(w io.Writer, level Level, formatter log.Formatter) *log.Logger {
 	at, ok := levels[level]
 	if !ok {
 		at = log.InfoLevel
@@ -52,6 +62,7 @@
 		Level:           at,
 		ReportTimestamp: true,
 		TimeFormat:      timeFormat,
+		Formatter:       formatter,
 	})
 }
 
--- a/internal/base/logs/queue.go
+++ b/internal/base/logs/queue.go
@@ -50,7 +50,7 @@
 	defer close(q.done)
 	for line := range q.lines {
 		if left := q.left.Swap(0); left > 0 {
-			line = append(fmt.Appendf(nil, "WARN logs: Lines were left out. cause=Queue lines=%d\n", left), line...)
+			line = append(fmt.Appendf(nil, "level=warn prefix=logs msg=\"Lines were left out.\" cause=Queue lines=%d\n", left), line...)
 		}
 		if _, err := q.out.Write(line); err != nil {
 			// There is nowhere to report it; the count shows in the metrics.
--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -67,8 +67,8 @@
 
 const maxLineBytes = 1 << 20
 
-// lineForm is [seconds host] time level [prefix:] text fields.
-var lineForm = regexp.MustCompile(`^\s*(?:(-?\d+\.\d+)\s+(\S+)\s+)?(\d{4}-\d\d-\d\dT\S+)\s+(\w+)\s+(?:\S+: )?(.*)$`)
+// lineForm is [seconds host] time=... and further fields.
+var lineForm = regexp.MustCompile(`^\s*(?:(-?\d+\.\d+)\s+(\S+)\s+)?(time=.*)$`)
 
 // fieldForm is key=value with or without quotes.
 var fieldForm = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S*)`)
@@ -79,18 +79,15 @@
 	if m == nil {
 		return Line{}, false
 	}
-	l := Line{At: m[3], Host: source, Fields: map[string]string{}, order: order, raw: text}
-	if m[2] != "" {
-		l.Host, l.At = m[2], fmt.Sprintf("%12s", m[1])
-	}
-	l.Text = m[5]
-	if first := fieldForm.FindStringIndex(m[5]); first != nil {
-		l.Text = strings.TrimSpace(m[5][:first[0]])
-	}
-	for _, f := range fieldForm.FindAllStringSubmatch(m[5], -1) {
+	l := Line{Host: source, Fields: map[string]string{}, order: order, raw: text}
+	for _, f := range fieldForm.FindAllStringSubmatch(m[3], -1) {
 		l.Fields[f[1]] = strings.Trim(f[2], `"`)
 	}
-	return l, true
+	l.At, l.Text = l.Fields["time"], l.Fields["msg"]
+	if m[2] != "" {
+		l.Host, l.At = m[2], m[1]
+	}
+	return l, l.Text != ""
 }
 
 // Read collects the lines about a request out of logs.
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -79,7 +79,7 @@
 	counters := count.NewSet()
 	queue := logs.NewQueue(out)
 	defer queue.Close(c, logsWait)
-	plain := logs.New(queue, logs.LevelInfo)
+	plain := logs.NewPlain(queue, logs.LevelInfo)
 	l := logs.Limit(plain, c, counters)
 	s, err := platform.Load(file)
 	if err != nil {
--- a/internal/tools/verbs/front_test.go
+++ b/internal/tools/verbs/front_test.go
@@ -116,7 +116,7 @@
 	h.settings, err = platform.Load(h.file)
 	c.Assert(err, qt.IsNil)
 	clk, set := clock.System(), count.NewSet()
-	plain := logs.New(h.log, logs.LevelInfo)
+	plain := logs.NewPlain(h.log, logs.LevelInfo)
 	h.gate = newGate(h.settings, clk, logs.Limit(plain, clk, set), plain, set)
 	h.gate.Settings.MetricsAddress = ""
 	ctx, cancel := context.WithCancel(context.Background())
