A server whose slots are all taken is waited for

Change: a full server costs half a second and is never ready; the request waits as behind any other backlog. The test fails without the change.

--- a/internal/policy/grant/grant_test.go
+++ b/internal/policy/grant/grant_test.go
@@ -234,3 +234,21 @@
 		c.Assert(used[one(c, k.Next(50)).Server], qt.IsFalse)
 	}
 }
+
+// A server whose slots are all taken is waited for, not refused.
+func TestAFullServerIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	k := grant.New(grant.Defaults())
+	k.SetServers([]fleet.Server{{ID: "s0", Slots: 2}})
+	for i := range 2 {
+		id := fmt.Sprint("c", i)
+		k.Ask(0, chat(id))
+		one(c, k.Next(0))
+		k.Started(30, id)
+	}
+	k.Ask(40, chat("waits"))
+	c.Assert(k.Next(40), qt.HasLen, 0)
+	c.Assert(k.Waiting(), qt.Equals, 1)
+	k.Ended(900, "c0", place.OutcomeServed)
+	c.Assert(one(c, k.Next(900)).Server, qt.Equals, "s0")
+}
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -201,8 +201,14 @@
 	fresh int
 	// waits tells that a shared part is on its way to the server.
 	waits bool
+	// full tells that the server's slots are all taken.
+	full bool
 }
 
+// fullPrice puts servers with a free slot before those without, in
+// milliseconds: about the time until one of many answers ends.
+const fullPrice = 500.0
+
 // decide grants the cheapest server if it is ready for the request, refuses a
 // request that cannot be answered in its time behind what waits ahead of it, in
 // milliseconds, and otherwise leaves it waiting. A refused caller can come back
@@ -226,7 +232,7 @@
 
 // ready tells whether a server should be handed a request now.
 func (c *Core) ready(o offer) bool {
-	if o.waits || o.server.planned > 0 {
+	if o.waits || o.full || o.server.planned > 0 {
 		return false
 	}
 	if o.read <= c.settings.QuickRead {
@@ -257,7 +263,7 @@
 	found := false
 	short := c.short(c.class(q.Class))
 	for i, s := range usable {
-		if contains(q.Avoid, s.ID) || (s.Slots > 0 && s.running >= s.Slots) {
+		if contains(q.Avoid, s.ID) {
 			continue
 		}
 		o := c.offer(now, q, s)
@@ -281,6 +287,10 @@
 	o.fresh, o.waits = s.later(q.Parts, q.Tokens)
 	o.read = c.readTime(o.fresh)
 	o.cost = o.after + o.read + c.settings.PerRunning*float64(s.running)
+	if s.Slots > 0 && s.running >= s.Slots {
+		o.full = true
+		o.cost += fullPrice
+	}
 	o.cost += c.settings.Again * float64(c.heldElsewhere(q, s)) / c.pace
 	return o
 }
