--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -123,7 +123,7 @@
 		ShortWeight:    3,
 		OtherGroup:     300,
 		PerRunning:     4,
-		LeastTail:      300,
+		LeastTail:      1_200,
 		ReadWeight:     1,
 	}
 }
--- a/internal/policy/grant/grant_test.go
+++ b/internal/policy/grant/grant_test.go
@@ -190,3 +190,25 @@
 	k.Ask(20_000, review("d", "thing3"))
 	one(c, k.Next(20_000))
 }
+
+// What cannot be answered behind what waits ahead of it is refused at once, and
+// told to come back when that is read, instead of being held until its end.
+func TestAHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	k := core(1)
+	k.Ask(0, review("first", "thing0"))
+	one(c, k.Next(0))
+	refused := 0
+	for i := range 40 {
+		k.Ask(1, review(fmt.Sprint("r", i), fmt.Sprint("thing", i+1)))
+		for _, d := range k.Next(1) {
+			c.Assert(d.Server, qt.Equals, "")
+			c.Assert(d.Waited, qt.Equals, clock.Millis(0))
+			c.Assert(d.RetryAfter > 1_000, qt.IsTrue)
+			refused++
+		}
+	}
+	// A prompt takes some 0.4 s to read: fewer than twenty fit into 8 s.
+	c.Assert(refused > 20, qt.IsTrue)
+	c.Assert(k.Waiting() > 10, qt.IsTrue)
+}
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -83,10 +83,16 @@
 	for _, s := range usable {
 		s.planned = 0
 	}
+	var ahead [2]float64
 	for _, q := range c.queue {
-		d, ok := c.decide(now, q, usable, shorts)
+		group := 0
+		if c.short(c.class(q.Class)) {
+			group = 1
+		}
+		d, ok := c.decide(now, q, usable, shorts, ahead[group]/float64(groupSize(len(usable), shorts, group)))
 		if !ok {
 			left = append(left, q)
+			ahead[group] += c.cheapest(q.Ask)
 			continue
 		}
 		d.ID, d.Host, d.Waited = q.ID, q.Host, now-q.at
@@ -96,6 +102,18 @@
 	return decisions
 }
 
+// groupSize is how many servers the short classes (1) or the others (0) have.
+func groupSize(usable, shorts, group int) int {
+	switch {
+	case shorts == 0:
+		return max(usable, 1)
+	case group == 1:
+		return shorts
+	default:
+		return usable - shorts
+	}
+}
+
 // Sick returns the servers that get nothing new for now.
 func (c *Core) Sick(now clock.Millis) []string {
 	var ids []string
@@ -177,14 +195,16 @@
 }
 
 // decide grants the cheapest server if it is ready for the request, refuses a
-// request that has run out of time, and otherwise leaves it waiting.
-func (c *Core) decide(now clock.Millis, q *asked, usable []*server, shorts int) (Decision, bool) {
+// request that cannot be answered in its time behind what waits ahead of it, in
+// milliseconds, and otherwise leaves it waiting. A refused caller can come back
+// when there is less to read; one that is held to its end cannot.
+func (c *Core) decide(now clock.Millis, q *asked, usable []*server, shorts int, ahead float64) (Decision, bool) {
 	best, ok := c.best(now, q, usable, shorts)
 	if !ok {
 		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
 	}
-	if now+clock.Millis(best.after+best.read)+c.settings.LeastTail > q.until {
-		return Decision{Reason: "OutOfTime", RetryAfter: clock.Millis(best.after)}, true
+	if now+clock.Millis(max(best.after, ahead)+best.read)+c.settings.LeastTail > q.until {
+		return Decision{Reason: "OutOfTime", RetryAfter: clock.Millis(max(best.after, ahead))}, true
 	}
 	if !c.ready(best) {
 		best.server.planned += best.read
--- /dev/null
+++ b/internal/tools/verbs/explain.go
@@ -0,0 +1,46 @@
+package verbs
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/tools/story"
+)
+
+func newExplain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID [LOG...]",
+		Short: "Tells from hosts' logs what happened to a request",
+		Long: `Reads the logs of one or more hosts, or standard input, and prints what the
+request's host believed, the request's way, and why it ended as it did.`,
+		Example: `  siskinsaddle explain 9c41d07be2a35f68 host-1.log host-2.log
+  fleetbench run SITE DAY --log all | siskinsaddle explain 9c41d07be2a35f68`,
+		Args: func(c *cobra.Command, args []string) error {
+			return wrongUse(cobra.MinimumNArgs(1)(c, args))
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			sources := []story.Source{{Name: "standard input", Reader: c.InOrStdin()}}
+			if len(args) > 1 {
+				sources = nil
+			}
+			for _, name := range args[1:] {
+				f, err := os.Open(name)
+				if err != nil {
+					return errors.Wrap(err, "opening a log")
+				}
+				defer func() { _ = f.Close() }() // it was only read
+				sources = append(sources, story.Source{Name: name, Reader: f})
+			}
+			s, err := story.Read(sources, args[0])
+			if err != nil {
+				return err
+			}
+			if len(s.Lines) == 0 {
+				return errors.Newf("no line names the request %q", args[0])
+			}
+			return s.Write(c.OutOrStdout())
+		},
+	}
+}
