Followers drop missing servers themselves and follow only readers

Ruled out: stale reads of the store (the versions rise).

Change: what is missing travels with the list and its time; a follower accepts only a reader that confirms by its own reads and whose calls about servers succeed, and looks further as soon as it says otherwise. One lost call alone is not told to others.

--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -20,6 +20,7 @@
 package fleet
 
 import (
+	"maps"
 	"sort"
 
 	"siskinsaddle/internal/base/clock"
@@ -81,16 +82,28 @@
 	f.away = false
 }
 
-// Away tells whether the last call to the store failed.
-func (f *Fleet) Away() bool { return f.away }
+// Missing returns the servers without a record, with the time at which each is
+// dropped.
+func (f *Fleet) Missing() map[string]clock.Millis { return maps.Clone(f.missing) }
 
-// Adopt takes a list that another host made by the same rules.
-func (f *Fleet) Adopt(list []Server) {
+// Adopt takes what another Fleet knows, with its missing servers and whether the
+// store is away from it.
+func (f *Fleet) Adopt(now clock.Millis, list []Server, missing map[string]clock.Millis, away bool) {
+	if f.away && !away {
+		f.back = now
+		f.hadBack = true
+	}
+	f.away = away
 	f.servers = make(map[string]Server, len(list))
 	for _, s := range list {
 		f.servers[s.ID] = s
 	}
 	f.missing = map[string]clock.Millis{}
+	for id, until := range missing {
+		if _, ok := f.servers[id]; ok {
+			f.missing[id] = until
+		}
+	}
 	f.list = nil
 }
 
--- a/internal/policy/fleet/fleet_test.go
+++ b/internal/policy/fleet/fleet_test.go
@@ -97,3 +97,23 @@
 	f.Put(10, fleet.Server{ID: "a", Born: 7, Address: "10.0.0.9:1"})
 	c.Assert(f.List()[0].Born, qt.Equals, int64(7))
 }
+
+// A host that takes over another one's list, with a record missing in it, drops
+// that server on its own when the time comes.
+func TestAnAdoptedListKeepsWhatIsMissing(t *testing.T) {
+	c := qt.New(t)
+	first := fleet.New(2_000, 1_000)
+	first.Put(0, fleet.Server{ID: "a"})
+	first.Put(0, fleet.Server{ID: "b"})
+	first.Lost(100)
+	first.Answered(1_000)
+	first.Replace(1_000, []fleet.Server{{ID: "a"}})
+	c.Assert(first.List(), qt.HasLen, 2)
+
+	second := fleet.New(2_000, 1_000)
+	second.Adopt(1_100, first.List(), first.Missing(), false)
+	second.Settle(2_900)
+	c.Assert(second.List(), qt.HasLen, 2)
+	second.Settle(3_100)
+	c.Assert(second.List(), qt.DeepEquals, []fleet.Server{{ID: "a"}})
+}
--- a/internal/share/brief/brief.go
+++ b/internal/share/brief/brief.go
@@ -8,8 +8,8 @@
 // at which it asked, so that the way there never makes a confirmation younger
 // than it is.
 //
-// A host passes over a reader that cannot be reached, or whose confirmation is
-// too old, and asks the next one. After the last it reads the store itself, and
+// A host passes over a reader that cannot be reached, or that does not read the
+// store with success, and asks the next one. After the last it reads the store itself, and
 // where it cannot, hosts of other failure domains are asked, which vouch for a
 // manifest that this host alone cannot confirm. Who reads needs no agreement:
 // two readers cost calls to the store, no more.
@@ -28,6 +28,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/share/crew"
@@ -47,7 +49,7 @@
 	// firstRest is how long a reader that cannot be reached is passed over, in
 	// milliseconds; lastRest bounds its doubling.
 	firstRest = 1_000 * clock.Millis(1)
-	lastRest  = 8_000 * clock.Millis(1)
+	lastRest  = 4_000 * clock.Millis(1)
 	// lookPeriod is the time between two looks at who reads, of a host that
 	// reads itself or finds no reader; up to twice as long by a jitter.
 	lookPeriod = 500 * clock.Millis(1)
@@ -145,8 +147,8 @@
 		rank = len(near)
 	}
 	b.patient.Store(rank > 0)
-	for i, name := range near[:rank] {
-		if b.ask(ctx, name, i == 0) {
+	for _, name := range near[:rank] {
+		if b.ask(ctx, name, true) {
 			return name
 		}
 	}
@@ -203,9 +205,10 @@
 	return name
 }
 
-// ask asks one host and tells whether what is known is fresh afterwards. It
-// waits for something new where wait is set.
-func (b *Brief) ask(ctx context.Context, name string, wait bool) bool {
+// ask asks one host and tells whether what is known is fresh afterwards. Of a
+// reader it is also demanded that it reads the store itself; one that was
+// followed before may wait for something new.
+func (b *Brief) ask(ctx context.Context, name string, reader bool) bool {
 	if b.rests(name) {
 		return false
 	}
@@ -213,29 +216,41 @@
 	sent := b.Clock.Boot()
 	m := askMessage{Edition: b.editionOf(name), Row: v.Row, Members: b.Crew.Version(), Age: b.News.Age(sent)}
 	limit := quickWait
-	if left := b.staleAge() - m.Age; wait && left > quickWait {
+	if left := b.staleAge() - m.Age; b.source == name && left > quickWait {
 		m.Wait, limit = left-askMargin, left
 	}
 	asking, cancel := context.WithTimeout(ctx, limit.Duration())
 	defer cancel()
 	var got answer
-	if err := b.Link.Call(asking, name, kindAsk, m, &got); err != nil {
+	err := b.Link.Call(asking, name, kindAsk, m, &got)
+	if err == nil {
+		err = b.take(name, sent, got)
+	}
+	if err == nil && reader && !got.Direct {
+		err = errNotReading
+	}
+	if err != nil {
 		b.lost(name, err)
 		return false
 	}
-	return b.take(name, sent, got) && !b.stale()
+	b.mu.Lock()
+	delete(b.resting, name)
+	b.mu.Unlock()
+	return !b.stale()
 }
 
-// take adopts an answer and tells whether it could be read.
-func (b *Brief) take(name string, sent clock.Millis, got answer) bool {
+// errNotReading is a reader that does not read the store with success.
+var errNotReading = errors.New("the host does not read the store itself")
+
+// take adopts an answer.
+func (b *Brief) take(name string, sent clock.Millis, got answer) error {
 	known := news.View{}
 	if len(got.Body) > 0 {
 		var in body
 		if err := unpack(got.Body, &in); err != nil {
-			b.lost(name, err)
-			return false
+			return err
 		}
-		known = in.view()
+		known = in.view(sent, got.Missing)
 		b.Crew.Adopt(in.Members, in.MembersVersion)
 	}
 	known.Row = got.Row
@@ -247,8 +262,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.packed.from, b.packed.edition = name, got.Edition
-	delete(b.resting, name)
-	return true
+	return nil
 }
 
 // never is the time of a confirmation that has not happened.
--- a/internal/share/brief/wire.go
+++ b/internal/share/brief/wire.go
@@ -41,7 +41,13 @@
 	Row       int64
 	Known     bool
 	Confirmed clock.Millis
-	Body      []byte
+	// Direct tells that the host reads the store itself and succeeds. Others
+	// may vouch for what they know; to follow them could go round in a circle.
+	Direct bool
+	// Missing are servers whose record has vanished, with the time at which
+	// each is dropped, in milliseconds after the question came.
+	Missing map[string]clock.Millis
+	Body    []byte
 }
 
 // body is what changed, whole; of the manifest only rows that the asker lacks.
@@ -55,8 +61,14 @@
 	MembersVersion int64
 }
 
-func (b body) view() news.View {
+// view is what the asker takes over, which asked at a moment.
+func (b body) view(sent clock.Millis, missing map[string]clock.Millis) news.View {
+	until := map[string]clock.Millis{}
+	for id, in := range missing {
+		until[id] = sent + in
+	}
 	return news.View{
+		Missing:      until,
 		ManifestRows: b.Manifest,
 		Servers:      b.Servers,
 		ServersKnown: b.ServersKnown,
@@ -117,11 +129,21 @@
 	// manifest than the view's.
 	age := b.News.Age(came)
 	v := b.News.View()
-	a := answer{Edition: edition, Row: v.Row, Known: age < clock.Hour, Confirmed: -age}
+	a := answer{
+		Edition:   edition,
+		Row:       v.Row,
+		Known:     age < clock.Hour,
+		Confirmed: -age,
+		Direct:    b.News.DirectAge(came) <= b.staleAge() && !v.Away,
+	}
 	members := b.Crew.Version()
 	if edition == m.Edition && members <= m.Members {
 		return a, nil
 	}
+	a.Missing = map[string]clock.Millis{}
+	for id, until := range v.Missing {
+		a.Missing[id] = until - came
+	}
 	k := packKey{edition, members, v.Row > m.Row}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/share/news/follow.go
+++ b/internal/share/news/follow.go
@@ -33,7 +33,8 @@
 	// onAll is given all rows, onChange those that changed, possibly none.
 	onAll    func(rows.Reply)
 	onChange func(rows.Reply)
-	onLost   func()
+	// onLost is given the number of failures in a row.
+	onLost func(int)
 	// back returns a channel that closes when another caller of the store got
 	// an answer again.
 	back func() <-chan struct{}
@@ -46,6 +47,7 @@
 
 func (f *follower) run(ctx context.Context) {
 	pause := firstRetry
+	failures := 0
 	for ctx.Err() == nil {
 		back := f.back()
 		err := f.step(ctx)
@@ -53,7 +55,7 @@
 			return
 		}
 		if err == nil {
-			pause = firstRetry
+			pause, failures = firstRetry, 0
 			if f.lost {
 				f.lost = false
 				f.log.Info("The store answers again.")
@@ -64,7 +66,8 @@
 		if historyGone(err) {
 			continue
 		}
-		f.onLost()
+		failures++
+		f.onLost(failures)
 		if !f.lost {
 			f.lost = true
 			f.log.Warn("The store does not answer.", "err", err)
--- a/internal/share/news/news.go
+++ b/internal/share/news/news.go
@@ -28,6 +28,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -64,7 +65,10 @@
 	Servers      []fleet.Server
 	ServersKnown bool
 	ServersRow   int64
-	// Away tells that the last call about servers failed.
+	// Missing are the servers whose record has vanished, with the time of the
+	// clock that counts suspension at which each is dropped.
+	Missing map[string]clock.Millis
+	// Away tells that the last two calls about servers failed.
 	Away bool
 }
 
@@ -109,8 +113,11 @@
 	view      atomic.Pointer[View]
 	edition   atomic.Int64
 	confirmed atomic.Int64
-	mu        sync.Mutex
-	fleet     *fleet.Fleet
+	// direct is the last confirmation by a read of this host's own.
+	direct atomic.Int64
+	mu     sync.Mutex
+	fleet  *fleet.Fleet
+	away   bool
 	// up rings when a read of the manifest succeeds after one that failed,
 	// fresh at each change and confirmation.
 	up    bell
@@ -144,8 +151,13 @@
 
 // Age is how long ago the manifest was confirmed, in milliseconds. Now is a
 // reading of the clock that counts suspension.
-func (n *News) Age(now clock.Millis) clock.Millis {
-	at := clock.Millis(n.confirmed.Load())
+func (n *News) Age(now clock.Millis) clock.Millis { return age(&n.confirmed, now) }
+
+// DirectAge is Age for the confirmations by this host's own reads.
+func (n *News) DirectAge(now clock.Millis) clock.Millis { return age(&n.direct, now) }
+
+func age(of *atomic.Int64, now clock.Millis) clock.Millis {
+	at := clock.Millis(of.Load())
 	if at == 0 {
 		at = never
 	}
@@ -200,7 +212,7 @@
 		log:    n.Log.With("table", name),
 		of:     of,
 		wait:   wait,
-		onLost: func() {},
+		onLost: func(int) {},
 	}
 }
 
@@ -216,6 +228,7 @@
 		return 0, errStale
 	}
 	n.takeManifest(reply.Rows)
+	n.direct.Store(int64(sent))
 	n.Confirm(sent)
 	return reply.Version, nil
 }
@@ -331,12 +344,8 @@
 		return
 	}
 	now := n.Clock.Boot()
-	n.fleet.Adopt(v.Servers)
-	if v.Away {
-		n.fleet.Lost(now)
-	} else {
-		n.fleet.Answered(now)
-	}
+	n.fleet.Adopt(now, v.Servers, v.Missing, v.Away)
+	n.away = v.Away
 	n.publishServers(now, v.ServersRow)
 }
 
@@ -354,6 +363,7 @@
 	defer n.mu.Unlock()
 	now := n.Clock.Boot()
 	n.fleet.Answered(now)
+	n.away = false
 	var all []fleet.Server
 	for _, row := range r.Rows {
 		if s, ok := n.server(row); ok {
@@ -369,6 +379,7 @@
 	defer n.mu.Unlock()
 	now := n.Clock.Boot()
 	n.fleet.Answered(now)
+	n.away = false
 	upTo := n.View().ServersRow
 	if len(r.Rows) > 0 {
 		upTo = max(upTo, r.Version)
@@ -396,12 +407,17 @@
 	return s, true
 }
 
-func (n *News) lostServers() {
+// lostServers notes a failure. One alone may be that of a connection; the list
+// counts as unconfirmed from then on, but others hear of it after the second.
+func (n *News) lostServers(failures int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Clock.Boot()
 	n.fleet.Lost(now)
-	n.publishServers(now, n.View().ServersRow)
+	if failures > 1 {
+		n.away = true
+		n.publishServers(now, n.View().ServersRow)
+	}
 }
 
 // publishServers makes a view of the list, whose last change is that of a row.
@@ -414,10 +430,11 @@
 	list := n.fleet.List()
 	known := v.ServersKnown || row > 0
 	same := v.ServersKnown == known && sameList(v.Servers, list)
-	if same && v.Away == n.fleet.Away() && v.ServersRow == row {
+	missing := n.fleet.Missing()
+	if same && v.Away == n.away && v.ServersRow == row && maps.Equal(v.Missing, missing) {
 		return
 	}
-	v.Servers, v.ServersKnown, v.ServersRow, v.Away = list, known, row, n.fleet.Away()
+	v.Servers, v.ServersKnown, v.ServersRow, v.Missing, v.Away = list, known, row, missing, n.away
 	if same {
 		n.publish(v)
 		return
