--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -29,20 +29,30 @@
 )
 
 func newFront() *cobra.Command {
-	var file string
+	var file, site string
+	var embedded bool
 	c := &cobra.Command{
 		Use:   "front",
-		Short: "Runs one host on the users' platform",
+		Short: "Runs one host that passes requests through, on the users' platform or by itself",
 		Long: `Runs one host that passes requests through to the backend servers that the
-platform's store lists, by the routes of the manifest there. It ends after
-SIGTERM, when the last answer is out.`,
-		Example: "  siskinsaddle front --platform-settings /etc/siskinsaddle/local.json",
-		Args:    noArgs,
+platform's store lists, by the routes of the manifest there. With --site both
+stand in a file, with --embedded in the one that "siskinsaddle site show" prints.
+It ends after SIGTERM, when the last answer is out.`,
+		Example: `  siskinsaddle front --platform-settings /etc/siskinsaddle/local.json
+  siskinsaddle front --site shop.site.hujson
+  siskinsaddle front --embedded`,
+		Args: noArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if embedded || site != "" {
+				return frontAlone(site, c.OutOrStdout())
+			}
 			return front(file, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&file, "platform-settings", platform.SettingsPath(), "the platform's settings file")
+	c.Flags().StringVar(&site, "site", "", "a site file, in place of the platform")
+	c.Flags().BoolVar(&embedded, "embedded", false, "the embedded site, in place of the platform")
+	c.MarkFlagsMutuallyExclusive("site", "embedded")
 	return c
 }
 
@@ -108,6 +118,32 @@
 	return nil
 }
 
+// frontAlone runs a host by a site file, the embedded one without a name.
+func frontAlone(file string, out io.Writer) error {
+	c := clock.System()
+	counters := count.NewSet()
+	queue := logs.NewQueue(out)
+	defer queue.Close(c, logsWait)
+	l := logs.Limit(logs.NewPlain(queue, logs.LevelInfo), c, counters)
+	h, err := newSiteHost(file, c, l, counters)
+	if err != nil {
+		return err
+	}
+	h.gate.LeftOut = queue.LeftOut
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	following, end := context.WithCancel(context.Background())
+	defer end()
+	if err := h.gate.Start(following); err != nil {
+		return err
+	}
+	l.Info("Takes callers.", "address", h.gate.Settings.CallerAddress, "version", h.now.site.Version)
+	go h.watch(following, c)
+	<-ctx.Done()
+	h.gate.Stop()
+	return nil
+}
+
 // newGate puts a host together from what the platform says.
 func newGate(s platform.Settings, c clock.Clock, l *logs.Limited, plain *log.Logger, counters *count.Set) *gate.Gate {
 	p, n := newPass(s, c, l, counters)
--- a/internal/tools/verbs/root.go
+++ b/internal/tools/verbs/root.go
@@ -80,7 +80,7 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetHelpCommand(newHelp())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return wrongUse(err) })
-	root.AddCommand(newServe(), newFront(), newExplain(), newSettings(), newStatus(), newVersion(), NewStandin(), NewBench(), newLoad(), NewManifest())
+	root.AddCommand(newServe(), newFront(), NewSite(), newExplain(), newSettings(), newStatus(), newVersion(), NewStandin(), NewBench(), newLoad(), NewManifest())
 	return root
 }
 
--- /dev/null
+++ b/internal/tools/verbs/site.go
@@ -0,0 +1,215 @@
+package verbs
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/shelf"
+	"siskinsaddle/internal/policy/grant"
+	"siskinsaddle/internal/policy/place"
+	"siskinsaddle/internal/serve/gate"
+	"siskinsaddle/internal/serve/pass"
+	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/clerk"
+	"siskinsaddle/internal/share/crew"
+	"siskinsaddle/internal/share/news"
+	"siskinsaddle/internal/share/sites"
+	"siskinsaddle/platform"
+)
+
+// NewSite returns the verb about site files.
+func NewSite() *cobra.Command {
+	check := &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Checks a site file and prints every finding with its place",
+		Example: "  siskinsaddle site check shop.site.hujson",
+		Args:    oneFile,
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := readSite(args[0])
+			if err != nil {
+				return err
+			}
+			c.Printf("%s: version %d, %d routes, %d services, %d workspaces, %d servers\n",
+				args[0], s.site.Version, len(s.site.Routes), len(s.site.Services), len(s.site.Workspaces), len(s.site.Servers))
+			return nil
+		},
+	}
+	show := &cobra.Command{
+		Use:     "show",
+		Short:   "Prints the embedded site, to begin one's own with",
+		Example: "  siskinsaddle site show > shop.site.hujson",
+		Args:    noArgs,
+		Run:     func(c *cobra.Command, _ []string) { c.Print(string(sites.Default)) },
+	}
+	return group("site", "Checks site files, which declare a host without the platform",
+		"  siskinsaddle site show > shop.site.hujson\n  siskinsaddle site check shop.site.hujson\n  siskinsaddle front --site shop.site.hujson",
+		check, show)
+}
+
+// siteFile is a site as it was read.
+type siteFile struct {
+	site sites.Site
+	text []byte
+}
+
+// readSite reads a file, or the embedded site where there is no name.
+func readSite(file string) (siteFile, error) {
+	text := sites.Default
+	if file != "" {
+		var err error
+		if text, err = os.ReadFile(file); err != nil {
+			return siteFile{}, errors.Wrap(err, "reading the site")
+		}
+	}
+	s, err := sites.Decode(file, text)
+	return siteFile{site: s, text: text}, err
+}
+
+// The bounds of a host without the platform: repeats as on the users' sites, in
+// their share, number and window in milliseconds.
+const (
+	siteRepeatRatio  = 0.2
+	siteRepeatSlack  = 10
+	siteRepeatWindow = 10 * clock.Second
+	// siteReadyAge is many reads of a store that is in the process itself, in
+	// milliseconds.
+	siteReadyAge = 5 * clock.Second
+	siteHostName = "host"
+)
+
+// siteHost is one host whose store is the site file.
+type siteHost struct {
+	file  string
+	now   siteFile
+	store *shelf.Shelf
+	log   *logs.Limited
+	gate  *gate.Gate
+}
+
+func newSiteHost(file string, clk clock.Clock, l *logs.Limited, counters *count.Set) (*siteHost, error) {
+	s, err := readSite(file)
+	if err != nil {
+		return nil, err
+	}
+	h := &siteHost{file: file, now: s, store: shelf.New(clk), log: l}
+	if err := h.put(s); err != nil {
+		return nil, err
+	}
+	n := &news.News{Store: h.store.For(siteHostName), Clock: clk, Source: sites.Source(), Log: l.WithPrefix("news")}
+	p := &pass.Pass{
+		Fields: platform.Headers,
+		Clock:  clk,
+		View:   n.View,
+		Age:    n.Age,
+		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: pauseTimeout},
+		Placer: place.New(place.Defaults()),
+		Log:    l.WithPrefix("pass"),
+		Count:  counters,
+	}
+	p.Hosts = func() int { return 1 }
+	self := []crew.Member{{Name: siteHostName, Cores: 1}}
+	p.Clerk = &clerk.Clerk{
+		Self:     siteHostName,
+		Members:  func() []crew.Member { return self },
+		Clock:    clk,
+		Log:      l.WithPrefix("clerk"),
+		Settings: grant.Defaults(),
+	}
+	p.Clerk.Register()
+	p.Apply(pass.Bounds{RepeatRatio: siteRepeatRatio, RepeatSlack: siteRepeatSlack, RepeatWindow: siteRepeatWindow})
+	h.gate = &gate.Gate{
+		Settings: gate.Settings{
+			CallerAddress:  s.site.Host.CallerAddress,
+			ReadyAddress:   s.site.Host.ReadyAddress,
+			MetricsAddress: s.site.Host.MetricsAddress,
+			StopTime:       s.site.Host.StopTime,
+			ReadyAge:       siteReadyAge,
+		},
+		News: n, Pass: p, Clock: clk, Log: l, Count: counters,
+	}
+	return h, nil
+}
+
+// put writes a site into the store and drops the servers that are in it no more.
+func (h *siteHost) put(s siteFile) error {
+	servers := map[string][]byte{}
+	for _, server := range s.site.Servers {
+		value, err := sites.ServerRow(server)
+		if err != nil {
+			return err
+		}
+		servers[server.ID] = value
+	}
+	for _, old := range h.now.site.Servers {
+		if _, ok := servers[old.ID]; !ok {
+			h.store.Drop(sites.ServersTable, old.ID)
+		}
+	}
+	for id, value := range servers {
+		h.store.Put(sites.ServersTable, id, value)
+	}
+	h.store.Put(sites.ManifestTable, sites.ManifestKey, s.text)
+	h.now = s
+	return nil
+}
+
+// reload puts a changed file in force as a whole, or refuses it as a whole.
+func (h *siteHost) reload(cause string) {
+	next, err := readSite(h.file)
+	if err == nil && next.site.Host != h.now.site.Host {
+		err = errors.New("the host's addresses and stop time need a new start")
+	}
+	if err == nil {
+		err = h.put(next)
+	}
+	if err != nil {
+		h.log.Error("A changed site was refused; the earlier one stays in force.", "cause", cause, "err", err)
+		return
+	}
+	h.log.Info("Site applied.", "cause", cause, "version", next.site.Version)
+}
+
+// watch reads the file after SIGHUP, and when it changed, until the context
+// ends.
+func (h *siteHost) watch(ctx context.Context, clk clock.Clock) {
+	if h.file == "" {
+		return
+	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	last := modified(h.file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			last = modified(h.file)
+			h.reload("SIGHUP")
+		case <-clk.After(reloadPeriod):
+			if next := modified(h.file); !next.Equal(last) {
+				last = next
+				h.reload("FileChanged")
+			}
+		}
+	}
+}
+
+// modified is when a file was last written, the zero time where that cannot be
+// told: reading it then says why.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
