--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -32,6 +32,7 @@
 	ReadsStore    = "siskinsaddle_reads_store"
 	Servers       = "siskinsaddle_servers"
 	Hosts         = "siskinsaddle_hosts"
+	Goroutines    = "siskinsaddle_goroutines"
 	Ready         = "siskinsaddle_ready"
 	QueueTime     = "siskinsaddle_queue_milliseconds"
 	FirstEvent    = "siskinsaddle_first_event_milliseconds"
@@ -69,6 +70,7 @@
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
 	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided"},
 	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
+	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
 	{Ready, "Gauge", "0 or 1", "", "whether the host asks for new connections"},
 	{RepeatsLeft, "Gauge", "attempts", "service", "repeats that this host may still send"},
 	{QueueTime, "Latency", "milliseconds", "route", "wait for a keeper's grant"},
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -68,6 +68,8 @@
 	Address string
 	// Stream has every request answered by events.
 	Stream bool
+	// Heard, where set, is told of each request that arrives and whether it runs.
+	Heard func(r *http.Request, runs bool)
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -143,7 +145,7 @@
 	return o.runs[id]
 }
 
-// Seen are the requests that arrived here.
+// Seen are the requests that arrived here, none where Heard is set.
 func (o *Origin) Seen() []*http.Request {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -225,8 +227,13 @@
 	if want := r.Header.Get(o.Fields.Server); want != "" && want != o.ID {
 		act = Moved
 	}
-	o.seen = append(o.seen, r)
-	if act != NotRun && act != Moved {
+	runs := act != NotRun && act != Moved
+	if o.Heard != nil {
+		o.Heard(r, runs)
+	} else {
+		o.seen = append(o.seen, r)
+	}
+	if runs {
 		o.runs[r.Header.Get(o.Fields.RequestID)]++
 	}
 	return act
--- a/internal/fakes/proxy/proxy.go
+++ b/internal/fakes/proxy/proxy.go
@@ -14,6 +14,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 const bufferBytes = 16 << 10
@@ -25,6 +26,8 @@
 
 	mu        sync.Mutex
 	allSilent bool
+	delay     time.Duration
+	oneWay    bool
 	pairs     map[*pair]struct{}
 }
 
@@ -67,6 +70,40 @@
 	}
 }
 
+// Reset ends every open connection with a reset.
+func (r *Proxy) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		for _, c := range []net.Conn{p.near, p.far} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // without it the connection is closed instead
+			}
+		}
+		p.end()
+	}
+}
+
+// SetDelay holds back each piece of bytes that passes from now on.
+func (r *Proxy) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// SetOneWay drops what the target sends back.
+func (r *Proxy) SetOneWay(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.oneWay = on
+}
+
+func (r *Proxy) faults() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay, r.oneWay
+}
+
 // Close ends the relay and its connections.
 func (r *Proxy) Close() {
 	_ = r.listener.Close()
@@ -109,9 +146,11 @@
 		if err != nil {
 			return
 		}
-		if p.isSilent() {
+		delay, oneWay := r.faults()
+		if p.isSilent() || (oneWay && from == p.far) {
 			continue
 		}
+		time.Sleep(delay)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -72,6 +72,16 @@
 	// Waited how long the request was held back.
 	Unread clock.Millis
 	Waited clock.Millis
+	// Cost is what the server was worth to the keeper, in milliseconds: the time
+	// until the first event and what others lose. Next is the second best one
+	// with its cost, Queued how many requests waited beside this one.
+	Cost     clock.Millis
+	Next     string
+	NextCost clock.Millis
+	Queued   int
+	// Sign is how long ago the server last showed to the keeper that it works,
+	// in milliseconds, -1 where it never did.
+	Sign clock.Millis
 }
 
 // Settings are the weights of the decisions.
@@ -172,6 +182,17 @@
 	holders map[string]int
 	// coming counts the unread requests with a part, on all servers.
 	coming map[string]int
+	// changes are those of servers' health that nobody took yet.
+	changes []HealthChange
+}
+
+// HealthChange is a server that is now avoided, or is no longer.
+type HealthChange struct {
+	Server  string
+	Change  place.Change
+	Outcome place.Outcome
+	// ID is the request that showed it.
+	ID string
 }
 
 // New returns a Core without servers.
@@ -315,7 +336,16 @@
 	if s.signAt > g.at && s.signFrom != g.Host {
 		return
 	}
-	s.health.Note(now, o)
+	if change := s.health.Note(now, o); change != place.ChangeNone {
+		c.changes = append(c.changes, HealthChange{Server: s.ID, Change: change, Outcome: o, ID: g.ID})
+	}
+}
+
+// TakeChanges returns what changed in servers' health since the last call.
+func (c *Core) TakeChanges() []HealthChange {
+	changes := c.changes
+	c.changes = nil
+	return changes
 }
 
 // hold notes that a server has a part.
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -212,7 +212,7 @@
 // milliseconds, and otherwise leaves it waiting. A refused caller can come back
 // when there is less to read; one that is held to its end cannot.
 func (c *Core) decide(now clock.Millis, q *asked, usable []*server, shorts int, ahead float64) (Decision, bool) {
-	best, ok := c.best(now, q, usable, shorts)
+	best, next, ok := c.best(now, q, usable, shorts)
 	if !ok {
 		return Decision{Reason: "NoServer", RetryAfter: noServerWait}, true
 	}
@@ -223,9 +223,23 @@
 		best.server.planned += best.read
 		return Decision{}, false
 	}
+	d := Decision{
+		Server: best.server.ID,
+		Reason: reason(q, best),
+		Unread: clock.Millis(best.after),
+		Cost:   clock.Millis(best.cost),
+		Queued: len(c.queue) - 1,
+		Sign:   -1,
+	}
+	if best.server.signAt > 0 {
+		d.Sign = now - best.server.signAt
+	}
+	if next.server != nil {
+		d.Next, d.NextCost = next.server.ID, clock.Millis(next.cost)
+	}
 	g := c.give(now, q.Ask, q.until, best.server)
 	c.class(q.Class).worked(now, g.read)
-	return Decision{Server: best.server.ID, Reason: reason(q, best), Unread: clock.Millis(best.after)}, true
+	return d, true
 }
 
 // ready tells whether a server should be handed a request now.
@@ -256,9 +270,8 @@
 	return "LeastUnread"
 }
 
-func (c *Core) best(now clock.Millis, q *asked, usable []*server, shorts int) (offer, bool) {
-	var best offer
-	found := false
+// best returns the two cheapest servers.
+func (c *Core) best(now clock.Millis, q *asked, usable []*server, shorts int) (best, next offer, found bool) {
 	short := c.short(c.class(q.Class))
 	for i, s := range usable {
 		if slices.Contains(q.Avoid, s.ID) {
@@ -271,11 +284,16 @@
 		if !short {
 			o.cost += c.settings.PerShort * float64(s.shorts)
 		}
-		if !found || o.cost < best.cost {
+		switch {
+		case !found:
 			best, found = o, true
+		case o.cost < best.cost:
+			best, next = o, best
+		case next.server == nil || o.cost < next.cost:
+			next = o
 		}
 	}
-	return best, found
+	return best, next, found
 }
 
 // offer works out what a server costs a request: the time until its first
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -29,13 +29,32 @@
 	OutcomeMoved:       true,
 }
 
-// Note takes in how a request ended.
-func (h *Health) Note(now clock.Millis, o Outcome) {
+// Change says what an outcome made of a server's health.
+type Change string
+
+// The changes.
+const (
+	ChangeNone    Change = ""
+	ChangeAvoided Change = "Avoided"
+	ChangeBack    Change = "Back"
+)
+
+// Note takes in how a request ended and returns whether the server is now
+// avoided that was not, or is no longer.
+func (h *Health) Note(now clock.Millis, o Outcome) Change {
+	sound := h.pause == 0
 	switch {
 	case o == OutcomeServed:
 		h.pause, h.until = 0, 0
+		if !sound {
+			return ChangeBack
+		}
 	case failing[o]:
 		h.pause = min(max(2*h.pause, firstAvoid), lastAvoid)
 		h.until = now + h.pause
+		if sound {
+			return ChangeAvoided
+		}
 	}
+	return ChangeNone
 }
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -18,6 +18,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 
 	"siskinsaddle/internal/base/clock"
@@ -146,7 +147,7 @@
 	var usable, sick []fleet.Server
 	for _, s := range p.servers[j.Service] {
 		switch {
-		case contains(j.Avoid, s.ID):
+		case slices.Contains(j.Avoid, s.ID):
 		case p.state(s).health.Avoided(now):
 			sick = append(sick, s)
 		default:
@@ -268,15 +269,6 @@
 	return h ^ h>>29
 }
 
-func contains(list []string, id string) bool {
-	for _, l := range list {
-		if l == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Sick returns the servers of a service that this host avoids for now.
 func (p *Placer) Sick(now clock.Millis, service string) []string {
 	var ids []string
@@ -306,9 +298,9 @@
 	p.state(s).open++
 }
 
-// Ended notes how a request ended at a server.
-func (p *Placer) Ended(now clock.Millis, s fleet.Server, o Outcome) {
+// Ended notes how a request ended at a server, and returns what that changed.
+func (p *Placer) Ended(now clock.Millis, s fleet.Server, o Outcome) Change {
 	st := p.state(s)
 	st.open--
-	st.health.Note(now, o)
+	return st.health.Note(now, o)
 }
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -150,6 +151,7 @@
 	g.Count.Set(meter.OpenRequests, int64(g.inlet.Open()))
 	g.Count.Set(meter.Connections, int64(g.inlet.Connections()))
 	g.Count.Set(meter.Hosts, int64(g.Pass.Hosts()))
+	g.Count.Set(meter.Goroutines, int64(runtime.NumGoroutine()))
 	ready := int64(0)
 	if g.Ready() {
 		ready = 1
--- a/internal/serve/pass/attempt.go
+++ b/internal/serve/pass/attempt.go
@@ -33,8 +33,11 @@
 		r.outcome = place.OutcomeCancelled
 	}
 	p.mu.Lock()
-	p.Placer.Ended(p.Clock.Now(), choice.Server, r.outcome)
+	change := p.Placer.Ended(p.Clock.Now(), choice.Server, r.outcome)
 	p.mu.Unlock()
+	if change != place.ChangeNone {
+		j.log("A server's health changed.", "server", choice.Server.ID, "change", string(change), "outcome", string(r.outcome))
+	}
 	p.Count.Add(meter.Attempts, 1, meter.Label("outcome", string(r.outcome)), meter.Label("server", choice.Server.ID))
 	if j.grant != "" {
 		p.Clerk.Ended(j.grant, r.outcome)
--- a/internal/serve/pass/choose.go
+++ b/internal/serve/pass/choose.go
@@ -74,6 +74,7 @@
 	if err != nil {
 		return place.Choice{}, nil, err
 	}
+	j.granted = d
 	j.reason, j.waited, j.unread = d.Reason, j.waited+d.Waited, d.Unread
 	if d.Server == "" {
 		return place.Choice{}, refuseAs(d), nil
--- a/internal/serve/pass/job.go
+++ b/internal/serve/pass/job.go
@@ -7,6 +7,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/meter"
+	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/route"
@@ -49,12 +50,14 @@
 	lastEvent string
 	firstAt   clock.Millis
 	// grant is the ask that a keeper granted for the attempt, "" for none.
-	grant  string
-	asks   int
-	reason string
-	waited clock.Millis
-	unread clock.Millis
-	server string
+	grant string
+	// granted is the keeper's last decision.
+	granted grant.Decision
+	asks    int
+	reason  string
+	waited  clock.Millis
+	unread  clock.Millis
+	server  string
 	// eventAt is when the last event was passed on, longest the longest pause
 	// between two.
 	eventAt clock.Millis
@@ -150,9 +153,14 @@
 	if j.sends >= j.route.MaxServers {
 		return false
 	}
+	hosts := j.pass.Hosts()
 	j.pass.mu.Lock()
-	defer j.pass.mu.Unlock()
-	return j.pass.Repeats.Take(now, j.service, j.pass.Hosts())
+	paid := j.pass.Repeats.Take(now, j.service, hosts)
+	j.pass.mu.Unlock()
+	if !paid {
+		j.log("No repeat is left for the service.", "service", j.service, "hosts", hosts, "cause", r.cause, "server", j.server)
+	}
+	return paid
 }
 
 const (
@@ -236,11 +244,32 @@
 	if j.longest > 0 {
 		j.pass.Count.Observe(meter.LongestPause, int64(j.longest), route)
 	}
-	j.log("Request ended.", "outcome", outcome, "cause", cause, "route", j.route.Name, "workspace", j.workspace,
-		"tier", j.tier, "manifest", j.manifest, "age", j.age, "server", j.server, "sends", j.sends, "placed", j.reason,
-		"waited", j.waited, "unread", j.unread, "tokens", j.place.Tokens, "first", first, "pause", j.longest, "took", now-j.arrived)
+	fields := make([]any, 0, mostFields)
+	fields = append(fields, "id", j.id, "outcome", outcome, "route", j.route.Name, "tier", j.tier, "manifest", j.manifest, "age", j.age,
+		"sends", j.sends, "first", first, "took", now-j.arrived)
+	// What says nothing is left out: each field has its cost.
+	if cause != "" {
+		fields = append(fields, "cause", cause)
+	}
+	if j.workspace != "" {
+		fields = append(fields, "workspace", j.workspace)
+	}
+	if j.server != "" {
+		fields = append(fields, "server", j.server, "placed", j.reason)
+	}
+	if j.asks > 0 {
+		fields = append(fields, "waited", j.waited, "unread", j.unread, "tokens", j.place.Tokens, "cost", j.granted.Cost,
+			"next", j.granted.Next, "nextCost", j.granted.NextCost, "queued", j.granted.Queued, "sign", j.granted.Sign)
+	}
+	if j.longest > 0 {
+		fields = append(fields, "pause", j.longest)
+	}
+	j.pass.Log.Info("Request ended.", fields...)
 }
 
+// mostFields is the number of names and values in a request's last line.
+const mostFields = 48
+
 func (j *job) log(text string, fields ...any) {
 	j.pass.Log.Info(text, append([]any{"id", j.id}, fields...)...)
 }
--- a/internal/share/clerk/desk.go
+++ b/internal/share/clerk/desk.go
@@ -171,6 +171,9 @@
 		return
 	}
 	d.looked = now
+	for _, h := range d.core.TakeChanges() {
+		d.log.Info("A server's health changed.", "server", h.Server, "change", string(h.Change), "outcome", string(h.Outcome), "id", h.ID)
+	}
 	for _, got := range d.core.Next(d.clock.Now()) {
 		if decided, ok := d.waiting[got.ID]; ok {
 			delete(d.waiting, got.ID)
