--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -66,6 +66,9 @@
 			return err
 		}
 		fmt.Print(report.Text(), "\n")
+		if err := os.WriteFile(filepath.Join(o.Folder, "report.txt"), []byte(report.Text()), 0o644); err != nil {
+			return err
+		}
 		if len(report.Findings) > 0 {
 			broken = append(broken, o.Seed)
 		}
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -26,7 +26,7 @@
 			if progress != nil && w.now() >= told+progressPeriod {
 				told = w.now()
 				w.mu.Lock()
-				fmt.Fprintf(progress, "%3d s: %d of %d faults begun, %d requests\n", told/clock.Second, i, len(plan), len(w.record.Sent))
+				_, _ = fmt.Fprintf(progress, "%3d s: %d of %d faults begun, %d requests\n", told/clock.Second, i, len(plan), len(w.record.Sent))
 				w.mu.Unlock()
 			}
 		}
@@ -38,7 +38,7 @@
 // playOne begins a fault, waits for its end, and undoes it.
 func (w *world) playOne(ctx context.Context, f Fault) {
 	from := w.now()
-	undo := acts[f.Kind](w, ctx, f)
+	undo := acts[f.Kind](ctx, w, f)
 	w.pause(ctx, f.Length)
 	if undo != nil {
 		undo()
@@ -49,29 +49,29 @@
 }
 
 // acts begin each kind of fault and return what undoes it, nil for nothing.
-var acts map[Kind]func(w *world, ctx context.Context, f Fault) func()
+var acts map[Kind]func(ctx context.Context, w *world, f Fault) func()
 
 func init() {
-	acts = map[Kind]func(w *world, ctx context.Context, f Fault) func(){
-		KindStop: func(w *world, ctx context.Context, f Fault) func() {
+	acts = map[Kind]func(ctx context.Context, w *world, f Fault) func(){
+		KindStop: func(ctx context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].stop(ctx)
 			return nil
 		},
-		KindKill: func(w *world, _ context.Context, f Fault) func() {
+		KindKill: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].signal(syscall.SIGKILL)
 			return nil
 		},
-		KindKillMany: func(w *world, _ context.Context, f Fault) func() {
+		KindKillMany: func(_ context.Context, w *world, f Fault) func() {
 			for i := range (len(w.hosts) + 1) / 2 {
 				w.hosts[(f.Target+i)%len(w.hosts)].signal(syscall.SIGKILL)
 			}
 			return nil
 		},
-		KindPause: func(w *world, _ context.Context, f Fault) func() {
+		KindPause: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].signal(syscall.SIGSTOP)
 			return func() { w.hosts[f.Target].signal(syscall.SIGCONT) }
 		},
-		KindHangup: func(w *world, _ context.Context, f Fault) func() {
+		KindHangup: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].signal(syscall.SIGHUP)
 			return nil
 		},
@@ -80,34 +80,34 @@
 		KindStoreDeaf:  storeFault,
 		KindStoreLost:  storeFault,
 		KindTurnedAway: storeFault,
-		KindStoreReset: func(w *world, _ context.Context, f Fault) func() {
+		KindStoreReset: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].store.Reset()
 			return nil
 		},
-		KindStoreSilent: func(w *world, _ context.Context, f Fault) func() {
+		KindStoreSilent: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].store.SetAllSilent(true)
 			return func() { w.hosts[f.Target].store.SetAllSilent(false) }
 		},
-		KindStoreOneWay: func(w *world, _ context.Context, f Fault) func() {
+		KindStoreOneWay: func(_ context.Context, w *world, f Fault) func() {
 			w.hosts[f.Target].store.SetOneWay(true)
 			return func() { w.hosts[f.Target].store.SetOneWay(false) }
 		},
-		KindServerReset: func(w *world, _ context.Context, f Fault) func() {
+		KindServerReset: func(_ context.Context, w *world, f Fault) func() {
 			w.server(f).relay.Reset()
 			return nil
 		},
-		KindServerSilent: func(w *world, _ context.Context, f Fault) func() {
+		KindServerSilent: func(_ context.Context, w *world, f Fault) func() {
 			w.server(f).relay.SilenceOpen()
 			return nil
 		},
-		KindServerDelayed: func(w *world, _ context.Context, f Fault) func() {
+		KindServerDelayed: func(_ context.Context, w *world, f Fault) func() {
 			s := w.server(f)
 			s.relay.SetDelay(delay)
 			return func() { s.relay.SetDelay(0) }
 		},
 		KindServerFaulty: serverFaulty,
 		KindServerLeaves: serverLeaves,
-		KindManifest: func(w *world, _ context.Context, _ Fault) func() {
+		KindManifest: func(_ context.Context, w *world, _ Fault) func() {
 			w.changeManifest()
 			return nil
 		},
@@ -127,7 +127,7 @@
 )
 
 // storeFault adds the fault to those of the store until it is undone.
-func storeFault(w *world, _ context.Context, f Fault) func() {
+func storeFault(_ context.Context, w *world, f Fault) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = append(w.faults, f)
@@ -176,7 +176,7 @@
 // spoiled are the ways in which a faulty server meets a request.
 var spoiled = []origin.Act{origin.Fail, origin.NotRun, origin.Reset, origin.Tear, origin.Stray, origin.Extra, origin.Early}
 
-func serverFaulty(w *world, _ context.Context, f Fault) func() {
+func serverFaulty(_ context.Context, w *world, f Fault) func() {
 	s := w.server(f)
 	random := rand.New(rand.NewPCG(w.options.Seed, uint64(f.At)))
 	s.Direct(func() (origin.Act, bool) {
@@ -187,7 +187,7 @@
 
 // serverLeaves replaces a server: another one comes, this one says that it
 // leaves, and ends when nothing may reach it any more.
-func serverLeaves(w *world, ctx context.Context, f Fault) func() {
+func serverLeaves(ctx context.Context, w *world, f Fault) func() {
 	s := w.server(f)
 	if err := w.addServer(s.service); err != nil {
 		w.failed(err)
@@ -209,7 +209,7 @@
 }
 
 // revoke puts a new key in the place of the oldest one.
-func revoke(w *world, _ context.Context, f Fault) func() {
+func revoke(_ context.Context, w *world, f Fault) func() {
 	w.mu.Lock()
 	gone := w.keys[0]
 	w.keys = append(slices.Clone(w.keys[1:]), fmt.Sprintf("key-%d-%d", f.At, w.manifest.Version))
