--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -277,6 +277,7 @@
 	}
 	g.started = true
 	g.server.signFrom, g.server.signAt = g.Host, now
+	g.server.health.Began()
 	if g.alone && g.fresh >= paceTokens {
 		c.learnPace(g, now)
 	}
--- a/internal/policy/grant/load_test.go
+++ b/internal/policy/grant/load_test.go
@@ -210,3 +210,32 @@
 	// Nine in ten get what they asked for although everything was cold.
 	c.Assert(keeper.whole*10 >= keeper.all*9, qt.IsTrue)
 }
+
+// Half of the servers answer each request at once with an error. Of 200 requests
+// that follow, few may still go there.
+func TestServersThatOnlyFailGetLittle(t *testing.T) {
+	c := qt.New(t)
+	core := grant.New(grant.Defaults())
+	core.SetServers(engines(8))
+	sick := func(id string) bool { return id < "i-004" }
+	now := clock.Millis(1_000)
+	failed := 0
+	for i := range 200 {
+		now += 10
+		id := fmt.Sprint("r", i)
+		core.Ask(now, grant.Ask{ID: id, Host: "h", Class: "review", Parts: prompt(i), Tokens: 13_700, Target: 500, Left: 8_000})
+		for _, d := range core.Next(now) {
+			if sick(d.Server) {
+				failed++
+				core.Ended(now, d.ID, place.OutcomeFailed)
+				continue
+			}
+			core.Started(now, d.ID)
+			core.Ended(now, d.ID, place.OutcomeServed)
+		}
+	}
+	// As many as show each of the four, and a look after each avoided time, which
+	// doubles from 0.5 s: twice in 2 s.
+	c.Assert(failed <= 4*(place.FailedInRow+2), qt.IsTrue, qt.Commentf("%d failed", failed))
+	c.Assert(failed >= 4, qt.IsTrue)
+}
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -16,8 +16,15 @@
 type Health struct {
 	until clock.Millis
 	pause clock.Millis
+	// failed is the number of answers in a row that told of a failure.
+	failed int
 }
 
+// FailedInRow is how many failures in a row speak against a server. Some calls
+// fail by themselves (14 % of the users' look-ups), so that one alone says
+// nothing; three in a row are then one in 400.
+const FailedInRow = 3
+
 // Avoided tells whether the server gets nothing new for now.
 func (h *Health) Avoided(now clock.Millis) bool { return now < h.until }
 
@@ -39,17 +46,23 @@
 	ChangeBack    Change = "Back"
 )
 
+// Began takes in that an answer began, which a server that only fails does not.
+func (h *Health) Began() { h.failed = 0 }
+
 // Note takes in how a request ended and returns whether the server is now
 // avoided that was not, or is no longer.
 func (h *Health) Note(now clock.Millis, o Outcome) Change {
 	sound := h.pause == 0
+	if o == OutcomeFailed {
+		h.failed++
+	}
 	switch {
 	case o == OutcomeServed:
-		h.pause, h.until = 0, 0
+		h.pause, h.until, h.failed = 0, 0, 0
 		if !sound {
 			return ChangeBack
 		}
-	case failing[o]:
+	case failing[o] || (o == OutcomeFailed && h.failed >= FailedInRow):
 		h.pause = min(max(2*h.pause, firstAvoid), lastAvoid)
 		h.until = now + h.pause
 		if sound {
