--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -37,6 +37,8 @@
 	QueueTime     = "siskinsaddle_queue_milliseconds"
 	FirstEvent    = "siskinsaddle_first_event_milliseconds"
 	WholeAnswer   = "siskinsaddle_whole_answer_milliseconds"
+	StoreTime     = "siskinsaddle_store_milliseconds"
+	StoreCalls    = "siskinsaddle_store_calls_total"
 	LongestPause  = "siskinsaddle_longest_pause_milliseconds"
 	RepeatsLeft   = "siskinsaddle_repeats_left"
 	LinesQueueOut = "siskinsaddle_log_queue_left_out"
@@ -63,6 +65,7 @@
 	{Panics, "Counter", "requests", "", "requests whose handler panicked"},
 	{LeftOut, "Counter", "lines", "cause", "log lines above the rate of their kind"},
 	{LinesQueueOut, "Gauge", "lines", "", "log lines left out so far because the reader of the output stalled"},
+	{StoreCalls, "Counter", "calls", "call, outcome", "calls to the platform's store, by Read, Watch, Commit and Answered, Failed"},
 	{OpenRequests, "Gauge", "requests", "", "requests that are being answered"},
 	{Connections, "Gauge", "connections", "", "callers' connections"},
 	{Manifest, "Gauge", "version", "", "version of the manifest in force"},
@@ -76,6 +79,7 @@
 	{QueueTime, "Latency", "milliseconds", "route", "wait for a keeper's grant"},
 	{FirstEvent, "Latency", "milliseconds", "route", "arrival to the first event or the answer"},
 	{WholeAnswer, "Latency", "milliseconds", "route", "arrival to the end of the answer"},
+	{StoreTime, "Latency", "milliseconds", "call", "time of a call to the platform's store; a watch waits for changes"},
 	{LongestPause, "Latency", "milliseconds", "route", "longest pause between two events of a stream"},
 }
 
--- a/internal/share/brief/order.go
+++ b/internal/share/brief/order.go
@@ -16,8 +16,8 @@
 	// reader: it answers all hosts of its failure domain.
 	strongShare = 0.7
 	// smallDomain is the largest number of hosts that read the store side by
-	// side: what two fewer readers save is less than a change that comes late
-	// by a reader's fault costs.
+	// side: one reader for them serves no more (docs/MEASURES.md), and a change
+	// goes one way less.
 	smallDomain = 3
 )
 
@@ -58,5 +58,5 @@
 	for _, m := range byDomain[domain] {
 		near = append(near, m.Name)
 	}
-	return near[:mostNear], far
+	return near[:min(len(near), mostNear)], far
 }
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -15,6 +15,8 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
+	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/serve/gate"
@@ -185,10 +187,23 @@
 	return b
 }
 
+// newStore is the platform's store, with its calls counted.
+func newStore(s platform.Settings, c clock.Clock, counters *count.Set) rows.Store {
+	return platform.NewStore(s.StoreAddress).WithTold(c, func(call rows.Call, took clock.Millis, err error) {
+		outcome := "Answered"
+		if err != nil {
+			outcome = "Failed"
+		}
+		name := meter.Label("call", string(call))
+		counters.Add(meter.StoreCalls, 1, name, meter.Label("outcome", outcome))
+		counters.Observe(meter.StoreTime, int64(took), name)
+	})
+}
+
 // newPass makes what follows the manifest and what forwards by it.
 func newPass(s platform.Settings, c clock.Clock, l *logs.Limited, counters *count.Set) (*pass.Pass, *news.News) {
 	n := &news.News{
-		Store: platform.NewStore(s.StoreAddress),
+		Store: newStore(s, c, counters),
 		Clock: c,
 		Source: news.Source{
 			ManifestRange: platform.ManifestRange,
@@ -217,7 +232,7 @@
 func newCrew(s platform.Settings, c clock.Clock, l *logs.Limited, plain *log.Logger, counters *count.Set) *gate.Crew {
 	g := &gate.Crew{
 		Crew: &crew.Crew{
-			Store: platform.NewStore(s.StoreAddress),
+			Store: newStore(s, c, counters),
 			Table: hostsTable,
 			Self: crew.Member{
 				Name:          s.HostName,
