Names of the last reading; the soak reports its own errors

An error that the soak itself met (a host that cannot start, a log that cannot be read) ended in the record as a lost host or nowhere; it ends the run now. What a host last heard and what it tells others are two fields of their own. The time of a confirmation that has not happened stands once. No change of what a host does.

--- a/internal/share/brief/brief.go
+++ b/internal/share/brief/brief.go
@@ -77,8 +77,17 @@
 	patient atomic.Bool
 	mu      sync.Mutex
 	resting map[string]rest
-	packed  packed
-	source  string
+	// told is the last edition that a host told, packed what this host tells.
+	told   told
+	packed packed
+	// source is whom the news come from; only Run's goroutine uses it.
+	source string
+}
+
+// told is what this host last heard, and from whom.
+type told struct {
+	host    string
+	edition int64
 }
 
 // rest is a reader that is passed over.
@@ -254,28 +263,25 @@
 		b.Crew.Adopt(in.Members, in.MembersVersion)
 	}
 	known.Row = got.Row
-	confirmed := never
+	confirmed := news.Never
 	if got.Known {
 		confirmed = sent + got.Confirmed
 	}
 	b.News.Adopt(known, confirmed)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.packed.from, b.packed.edition = name, got.Edition
+	b.told = told{name, got.Edition}
 	return nil
 }
 
-// never is the time of a confirmation that has not happened.
-const never = -clock.Hour
-
 // editionOf is the last edition that a host told, 0 for none.
 func (b *Brief) editionOf(name string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.packed.from != name {
+	if b.told.host != name {
 		return 0
 	}
-	return b.packed.edition
+	return b.told.edition
 }
 
 func (b *Brief) rests(name string) bool {
--- a/internal/share/brief/wire.go
+++ b/internal/share/brief/wire.go
@@ -77,12 +77,8 @@
 	}
 }
 
-// packed keeps the last body, which many hosts ask for, and the edition of the
-// host that this one follows.
+// packed keeps the last body, which many hosts ask for.
 type packed struct {
-	from    string
-	edition int64
-
 	key  packKey
 	body []byte
 }
--- a/internal/share/news/news.go
+++ b/internal/share/news/news.go
@@ -146,8 +146,8 @@
 	return View{}
 }
 
-// never is the time of a confirmation that has not happened.
-const never = -clock.Hour
+// Never is the time of a confirmation that has not happened.
+const Never = -clock.Hour
 
 // Age is how long ago the manifest was confirmed, in milliseconds. Now is a
 // reading of the clock that counts suspension.
@@ -159,7 +159,7 @@
 func age(of *atomic.Int64, now clock.Millis) clock.Millis {
 	at := clock.Millis(of.Load())
 	if at == 0 {
-		at = never
+		at = Never
 	}
 	return now - at
 }
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -13,6 +13,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/origin"
 	"siskinsaddle/internal/fakes/shelf"
+	"siskinsaddle/platform"
 )
 
 // play carries out a plan and returns when its last fault is over.
@@ -203,7 +204,7 @@
 	}
 	w.running.Go(func() {
 		w.pause(ctx, boundDrain+boundContact)
-		w.shelf.Drop("servers", s.ID)
+		w.shelf.Drop(platform.ServersTable, s.ID)
 	})
 	return nil
 }
--- a/internal/tools/soak/hosts.go
+++ b/internal/tools/soak/hosts.go
@@ -121,9 +121,8 @@
 		}
 		<-h.ended
 		h.ready.Store(false)
-		down := h.world.now()
+		h.world.noteDown(h.number, h.world.now())
 		h.world.pause(ctx, restartWait)
-		h.world.noteDown(h.number, down)
 	}
 }
 
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -92,7 +92,10 @@
 	callers.Wait()
 	w.notesLeaks("after")
 	w.stopHosts(ctx)
-	record := w.finish()
+	record, err := w.finish()
+	if err != nil {
+		return Report{}, err
+	}
 	return newReport(o, plan, record), ctx.Err()
 }
 
--- a/internal/tools/soak/world.go
+++ b/internal/tools/soak/world.go
@@ -308,20 +308,20 @@
 	}
 }
 
-// finish takes from the logs what they say and returns the record.
-func (w *world) finish() Record {
+// finish takes from the logs what they say and returns the record, or the first
+// error that the run itself met.
+func (w *world) finish() (Record, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.record.End = w.now()
 	for _, h := range w.hosts {
 		v, err := h.versions()
 		if err != nil {
-			w.record.Lost = append(w.record.Lost, h.number)
-			continue
+			return Record{}, err
 		}
 		w.record.Versions = append(w.record.Versions, v...)
 	}
-	return w.record
+	return w.record, w.err
 }
 
 // deadline bounds what one request of a caller may take on its connection.
