--- a/internal/share/brief/brief_test.go
+++ b/internal/share/brief/brief_test.go
@@ -249,3 +249,26 @@
 	}
 	return left
 }
+
+// A reader that the store turns away is kept fresh by the others. If they then
+// followed it again, nobody would read until all news are too old at once.
+func TestAReaderThatTheStoreTurnsAwayIsNotFollowed(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, "a", "a", "a", "a", "a")
+	g.settle()
+	reader := g.readers()[0]
+	g.shelf.Set(shelf.Faults{TurnedAway: map[string]bool{reader.name: true}})
+	others := func() bool {
+		for _, h := range without(g.hosts, reader) {
+			if h.brief.Reads() {
+				return true
+			}
+		}
+		return false
+	}
+	eventually(others)
+	for range 600 {
+		c.Assert(others(), qt.IsTrue)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
