--- a/internal/policy/place/health_test.go
+++ b/internal/policy/place/health_test.go
@@ -32,14 +32,15 @@
 // requests fail by themselves.
 func TestSomeFailuresSayNothing(t *testing.T) {
 	c := qt.New(t)
-	var h place.Health
-	for i := range clock.Millis(100) {
-		h.Note(i, place.OutcomeFailed)
-		c.Assert(h.Avoided(i), qt.IsFalse)
-		if i%2 == 0 {
-			h.Began()
-		} else {
-			h.Note(i, place.OutcomeServed)
+	for name, sign := range map[string]func(*place.Health){
+		"Began":  (*place.Health).Began,
+		"Served": func(h *place.Health) { h.Note(0, place.OutcomeServed) },
+	} {
+		var h place.Health
+		for i := range clock.Millis(100) {
+			h.Note(i, place.OutcomeFailed)
+			c.Assert(h.Avoided(i), qt.IsFalse, qt.Commentf("%s", name))
+			sign(&h)
 		}
 	}
 }
--- a/internal/share/clerk/desk.go
+++ b/internal/share/clerk/desk.go
@@ -19,7 +19,7 @@
 	deskPeriod = 10 * clock.Millis(1)
 	// mostAtOnce is how many requests may wait for each event to be followed by
 	// a round of decisions; with more there is one each deskPeriod. A round takes
-	// some 10 us for each that waits, with 90 servers, and a request three events.
+	// some 8 us for each that waits, with 60 servers, and a request three events.
 	mostAtOnce = 4
 	// standstill is the gap between two looks after which a desk takes it that
 	// its host stood still, in milliseconds. What waited has gone elsewhere.
