A keeper's rounds and queue, and a host's wait for a grant, are measured

Cause of the change: the record of the incident has no figure that tells a keeper which does not keep up from a request that its keeper held in the queue.

siskinsaddle_decision_round_milliseconds and siskinsaddle_waiting_requests are the keeper's, with a log line for a round longer than the time between two rounds; siskinsaddle_grant_milliseconds and the field granting of the line of a request are the host's own wait, beside the queue time that the keeper counts. TestKeeperMeasuresRoundsAndQueue shows that they are set.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -42,6 +42,9 @@
 	LongestPause    = "siskinsaddle_longest_pause_milliseconds"
 	RepeatsLeft     = "siskinsaddle_repeats_left"
 	LogQueueDropped = "siskinsaddle_log_queue_left_out"
+	GrantTime       = "siskinsaddle_grant_milliseconds"
+	RoundTime       = "siskinsaddle_decision_round_milliseconds"
+	WaitingRequests = "siskinsaddle_waiting_requests"
 )
 
 // Metric describes one metric.
@@ -78,7 +81,10 @@
 	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
 	{Ready, "Gauge", "0 or 1", "", "whether the host asks for new connections"},
 	{RepeatsLeft, "Gauge", "attempts", "service", "repeats that this host may still send"},
-	{QueueTime, "Latency", "milliseconds", "route", "wait for a keeper's grant"},
+	{WaitingRequests, "Gauge", "requests", "pool", "requests that wait in the queue of this host as a keeper"},
+	{QueueTime, "Latency", "milliseconds", "route", "wait in the keeper's queue, as the keeper counts it"},
+	{GrantTime, "Latency", "milliseconds", "route", "wait for the keeper's decision, as the request's host counts it"},
+	{RoundTime, "Latency", "milliseconds", "pool", "time of one round of decisions of this host as a keeper"},
 	{FirstEvent, "Latency", "milliseconds", "route", "arrival to the first event or the answer"},
 	{WholeAnswer, "Latency", "milliseconds", "route", "arrival to the end of the answer"},
 	{StoreTime, "Latency", "milliseconds", "call", "time of a call to the platform's store; a watch waits for changes"},
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -73,6 +73,7 @@
 	defer cancel()
 	defer context.AfterFunc(p.draining, cancel)()
 	d, err := p.Broker.RequestGrant(waitCtx, j.service, request)
+	j.grantTime += p.Clock.Now() - now
 	if err != nil {
 		return place.Choice{}, nil, err
 	}
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -57,9 +57,11 @@
 	decision      grant.Decision
 	grantRequests int
 	placedBy      string
-	// waited is the sum of Decision.Waited over all grant requests, startDelay the
-	// StartDelay of the last decision.
+	// waited is the sum of Decision.Waited over all grant requests, grantTime the time
+	// until the decisions as this host measured it, and startDelay the StartDelay of
+	// the last decision.
 	waited     clock.Millis
+	grantTime  clock.Millis
 	startDelay clock.Millis
 	server     string
 	// lastEventAt is the time at which the last event was forwarded, longestPause the
@@ -247,6 +249,7 @@
 	}
 	if j.grantRequests > 0 {
 		j.proxy.Count.Observe(meter.QueueTime, int64(j.waited), route)
+		j.proxy.Count.Observe(meter.GrantTime, int64(j.grantTime), route)
 	}
 	if j.longestPause > 0 {
 		j.proxy.Count.Observe(meter.LongestPause, int64(j.longestPause), route)
@@ -265,7 +268,7 @@
 		fields = append(fields, "server", j.server, "placed", j.placedBy)
 	}
 	if j.grantRequests > 0 {
-		fields = append(fields, "waited", j.waited, "unread", j.startDelay, "tokens", j.place.Tokens, "cost", j.decision.Cost,
+		fields = append(fields, "waited", j.waited, "granting", j.grantTime, "unread", j.startDelay, "tokens", j.place.Tokens, "cost", j.decision.Cost,
 			"next", j.decision.Next, "nextCost", j.decision.NextCost, "queued", j.decision.OthersWaiting, "sign", j.decision.SinceLastEvent)
 	}
 	if j.longestPause > 0 {
@@ -275,7 +278,7 @@
 }
 
 // maxLogFields is the maximum number of keys and values in that log line.
-const maxLogFields = 48
+const maxLogFields = 50
 
 // log writes a log line with the request's ID.
 func (j *job) log(text string, fields ...any) {
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -13,7 +13,7 @@
 //
 // # Usage
 //
-//	b := &broker.Broker{Self: "host-1", Members: registry.Members, Link: node, Clock: clk, Log: l}
+//	b := &broker.Broker{Self: "host-1", Members: registry.Members, Link: node, Clock: clk, Log: l, Count: set}
 //	b.Register()            // before the link runs
 //	b.SetServers(servers)   // on each change
 //	d, err := b.RequestGrant(ctx, "canvas-llm", request)
@@ -31,6 +31,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
@@ -61,6 +62,7 @@
 	Link    *link.Node
 	Clock   clock.Clock
 	Log     *logs.Limited
+	Count   *count.Set
 	// Settings are the settings of the decisions.
 	Settings grant.Settings
 	// CachedSegments queries the prompt segments that a server has cached. It is nil if
--- a/internal/share/broker/broker_test.go
+++ b/internal/share/broker/broker_test.go
@@ -12,6 +12,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -32,6 +33,7 @@
 
 type host struct {
 	broker *broker.Broker
+	count  *count.Set
 	stop   func()
 }
 
@@ -63,9 +65,11 @@
 			return "", false
 		},
 	}
+	counters := count.NewSet()
 	b := &broker.Broker{
 		Self: name, Members: g.list, Link: node, Clock: clock.System(),
 		Log: logs.Limit(l, clock.System(), nil), Settings: grant.Defaults(),
+		Count: counters,
 	}
 	b.Register()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -88,7 +92,7 @@
 	g.mu.Lock()
 	g.members = append(g.members, member.Member{Name: name, Address: node.Addr(), Cores: 1})
 	g.mu.Unlock()
-	g.hosts[name] = &host{broker: b, stop: stop}
+	g.hosts[name] = &host{broker: b, count: counters, stop: stop}
 }
 
 func newRequest(id, segment string) grant.Request {
@@ -146,6 +150,29 @@
 	c.Assert(g.hosts["h0"].broker.SegmentServer(service, "thing"), qt.Equals, first.Server)
 }
 
+// The metrics of a keeper tell a keeper that does not keep up from a full queue.
+func TestKeeperMeasuresRoundsAndQueue(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 1, 1)
+	h := g.hosts["h0"]
+	pool := meter.Label("pool", service+"#0")
+	g.requestGrant("h0", newRequest("r", "thing"))
+	c.Assert(h.count.Observations(meter.RoundTime, pool), qt.Equals, int64(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	waited := make(chan error, 1)
+	go func() {
+		_, err := h.broker.RequestGrant(ctx, service, newRequest("second", "thing"))
+		waited <- err
+	}()
+	for h.count.Gauge(meter.WaitingRequests, pool) != 1 {
+		time.Sleep(time.Millisecond) // loops forever if the queue is not counted
+	}
+	cancel()
+	c.Assert(<-waited, qt.ErrorIs, context.Canceled)
+	c.Assert(h.count.Gauge(meter.WaitingRequests, pool), qt.Equals, int64(0))
+	c.Assert(h.count.Observations(meter.RoundTime, pool) > 1, qt.IsTrue)
+}
+
 func TestRequestGrantFailsWithoutReachableKeeper(t *testing.T) {
 	c := qt.New(t)
 	g := newGroup(c, 1, 3)
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -7,7 +7,9 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -37,6 +39,8 @@
 	settings grant.Settings
 	clock    clock.Clock
 	log      *logs.Limited
+	count    *count.Set
+	label    count.Label
 
 	mu      sync.Mutex
 	core    *grant.Core
@@ -60,6 +64,8 @@
 		settings:      b.Settings,
 		clock:         b.Clock,
 		log:           b.Log.With("service", p),
+		count:         b.Count,
+		label:         meter.Label("pool", p.String()),
 		core:          grant.New(b.Settings),
 		waiting:       map[string]chan grant.Decision{},
 		querySegments: b.CachedSegments,
@@ -183,6 +189,7 @@
 		return
 	}
 	k.decidedAt = now
+	waiting := k.core.Waiting()
 	for _, h := range k.core.TakeChanges() {
 		k.log.Info("A server's health changed.",
 			"server", h.Server, "change", string(h.Change), "outcome", string(h.Outcome), "id", h.ID)
@@ -193,12 +200,26 @@
 			decided <- got
 		}
 	}
+	k.recordRound(k.clock.Boot()-now, waiting)
 	if k.core.Waiting() > 0 && !k.ticking {
 		k.ticking = true
 		go k.tick()
 	}
 }
 
+// recordRound updates the metrics after a round of decisions on waiting requests.
+func (k *poolKeeper) recordRound(took clock.Millis, waiting int) {
+	k.count.Set(meter.WaitingRequests, int64(k.core.Waiting()), k.label)
+	if waiting == 0 {
+		return
+	}
+	k.count.Observe(meter.RoundTime, int64(took), k.label)
+	if took > decidePeriod {
+		k.log.Warn("A decision round took longer than the time between two rounds.",
+			"took", took, "waiting", waiting)
+	}
+}
+
 // reset discards all requests after a suspension of the host: granted ones may have
 // ended, and waiting ones were sent to another keeper. The hosts report their running
 // requests again. The caller holds the lock.
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -277,6 +277,7 @@
 		Link:     cluster.Link,
 		Clock:    c,
 		Log:      l.WithPrefix("clerk"),
+		Count:    counters,
 		Settings: grant.Defaults(),
 	}
 	return cluster
--- a/internal/tools/verbs/site.go
+++ b/internal/tools/verbs/site.go
@@ -123,6 +123,7 @@
 		Members:  func() []member.Member { return self },
 		Clock:    clk,
 		Log:      l.WithPrefix("clerk"),
+		Count:    counters,
 		Settings: grant.Defaults(),
 	}
 	p.Broker.Register()
