--- /dev/null
+++ b/internal/share/broker/crowd_test.go
@@ -0,0 +1,52 @@
+package broker_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/policy/grant"
+	"siskinsaddle/internal/policy/place"
+)
+
+// With so many waiting requests a round of decisions takes longer than the time between
+// two rounds, and further requests arrive meanwhile.
+func TestUrgentRequestIsNotHeldUpByLongRounds(t *testing.T) {
+	c := qt.New(t)
+	const (
+		servers  = 60
+		waiting  = 3_000
+		arriving = 500
+		period   = 3 * clock.Millis(1)
+		target   = 500 * clock.Millis(1)
+	)
+	g := newGroup(c, 1, servers)
+	b := g.hosts["h0"].broker
+	clk := clock.System()
+	ctx, cancel := context.WithCancel(context.Background())
+	var reviews sync.WaitGroup
+	defer reviews.Wait()
+	defer cancel()
+	for i := range waiting + arriving {
+		if i >= waiting {
+			<-clk.After(period)
+		}
+		reviews.Go(func() {
+			review := newRequest(fmt.Sprint("review", i), fmt.Sprint("thing", i))
+			review.Tier, review.TimeLeft = 2, clock.Minute
+			_, _ = b.RequestGrant(ctx, service, review) // most end by the cancellation
+		})
+	}
+	inTime, release := context.WithTimeout(ctx, target.Duration())
+	defer release()
+	d, err := b.RequestGrant(inTime, service, grant.Request{
+		ID: "chat", Class: "chat", Tokens: 1_460, Target: target, TimeLeft: 8 * clock.Second,
+		Segments: []place.Segment{{Name: "system", Tokens: 350}, {Name: "own", Tokens: 1_110}},
+	})
+	c.Assert(err, qt.IsNil, qt.Commentf("not decided within the target of %d ms", target))
+	c.Assert(d.Server, qt.Not(qt.Equals), "")
+}
