Decision rounds take at most half of a keeper's time

Cause: the time between two rounds of decisions was counted from the begin of a round. A round on a long queue takes longer than that time of 10 ms, so each message, a request or an event of one, was followed by a whole round. Messages then arrive faster than they are handled and wait whatever their tier; hosts see a silent keeper, drop the connection and ask another one, whose grants the first does not know, and the servers' own queues fill.

Fix: the next round is due after 10 ms, and after as long a pause as the round took. Half of the keeper's time is left for messages, whatever a round costs, and the round that follows decides on all of them, the most urgent first. A suspension of the host is now the gap between two calls and no longer between two rounds, which would take a long round for one.

The test as it was committed could not pass on any code: its servers never answered, so that all of them were overdue when the chat came. Now they answer after 300 ms; the target is the same, the queue twice as long, the arrivals three times as many. It fails on the code before (three of three, 30 to 41 s) and passes with the change (three of three, 1.5 s).

--- a/internal/share/broker/crowd_test.go
+++ b/internal/share/broker/crowd_test.go
@@ -19,9 +19,10 @@
 	c := qt.New(t)
 	const (
 		servers  = 60
-		waiting  = 3_000
-		arriving = 500
-		period   = 3 * clock.Millis(1)
+		waiting  = 6_000
+		arriving = 1_000
+		period   = 1 * clock.Millis(1)
+		prefill  = 300 * clock.Millis(1)
 		target   = 500 * clock.Millis(1)
 	)
 	g := newGroup(c, 1, servers)
@@ -38,7 +39,12 @@
 		reviews.Go(func() {
 			review := newRequest(fmt.Sprint("review", i), fmt.Sprint("thing", i))
 			review.Tier, review.TimeLeft = 2, clock.Minute
-			_, _ = b.RequestGrant(ctx, service, review) // most end by the cancellation
+			review.Segments = append([]place.Segment{{Name: "system", Tokens: 350}}, review.Segments...)
+			if d, err := b.RequestGrant(ctx, service, review); err == nil && d.Server != "" {
+				<-clk.After(prefill)
+				b.Started(review.ID)
+				b.Ended(review.ID, place.OutcomeServed)
+			}
 		})
 	}
 	inTime, release := context.WithTimeout(ctx, target.Duration())
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -20,12 +20,12 @@
 	// milliseconds, since the pending prefill of the servers shrinks over time.
 	decidePeriod = 10 * clock.Millis(1)
 	// maxEagerWaiting is the largest number of waiting requests up to which each event
-	// triggers a decision round; with more there is one round each decidePeriod. A
-	// round takes some 8 us for each waiting request with 60 servers, and a
-	// request has three events, so the events of many requests are batched.
+	// triggers a decision round; with more, pace batches the events. A round takes
+	// some 8 us for each waiting request with 60 servers, and a request has three
+	// events.
 	maxEagerWaiting = 4
-	// maxSuspension is the gap between two rounds above which the host counts as
-	// having been suspended, in milliseconds. The waiting requests have then been
+	// maxSuspension is the gap without any message or tick above which the host counts
+	// as having been suspended, in milliseconds. The waiting requests have then been
 	// sent to another keeper.
 	maxSuspension = 700 * clock.Millis(1)
 )
@@ -48,8 +48,10 @@
 	waiting map[string]chan grant.Decision
 	// ticking is set while a goroutine runs tick.
 	ticking bool
-	// decidedAt is the time of the last decision round on the boot-time clock.
-	decidedAt clock.Millis
+	// pace and awakeAt hold readings of the boot-time clock: those of the last round and
+	// of the last call of decide.
+	pace    pace
+	awakeAt clock.Millis
 	// querySegments queries the segments that a server has cached. queried has the
 	// servers that were queried, by ID and address.
 	querySegments func(ctx context.Context, s fleet.Server) ([]place.Segment, error)
@@ -178,17 +180,17 @@
 }
 
 // decide runs a decision round and delivers the decisions. While more than
-// maxEagerWaiting requests wait and the last round is less than decidePeriod ago, it
-// leaves the round to tick. The caller holds the lock.
+// maxEagerWaiting requests wait and no round is due, it leaves the round to tick. The
+// caller holds the lock.
 func (k *poolKeeper) decide() {
 	now := k.clock.Boot()
-	if k.ticking && now-k.decidedAt > maxSuspension {
-		k.reset(now - k.decidedAt)
+	if k.ticking && now-k.awakeAt > maxSuspension {
+		k.reset(now - k.awakeAt)
 	}
-	if k.ticking && k.core.Waiting() > maxEagerWaiting && now-k.decidedAt < decidePeriod {
+	k.awakeAt = now
+	if k.ticking && k.core.Waiting() > maxEagerWaiting && !k.pace.due(now) {
 		return
 	}
-	k.decidedAt = now
 	waiting := k.core.Waiting()
 	for _, h := range k.core.TakeChanges() {
 		k.log.Info("A server's health changed.",
@@ -200,7 +202,9 @@
 			decided <- got
 		}
 	}
-	k.recordRound(k.clock.Boot()-now, waiting)
+	k.awakeAt = k.clock.Boot()
+	k.pace = pace{beganAt: now, endedAt: k.awakeAt}
+	k.recordRound(k.awakeAt-now, waiting)
 	if k.core.Waiting() > 0 && !k.ticking {
 		k.ticking = true
 		go k.tick()
