A full queue refuses the least urgent requests, not the latest

Callers: behind 1,024 waiting requests an urgent request was turned away by its keeper, and its host decided alone for half a second.

A grant request is a call between hosts that lasts while the request waits, and a host handles 1,024 calls at a time. The next one failed whatever its tier, and the host took the keeper for unreachable.

Fix: the keeper's queue is bounded at 1,000 requests of a pool, and what is beyond is refused in the order of the queue, as not run, with the time until the prefill before it is done. A host handles 4,096 calls, more than the queues of three pools. The bound also limits the time of a round of decisions.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -130,6 +130,9 @@
 	// MinAnswerTime is the least time needed after the prefill to complete an answer,
 	// in milliseconds.
 	MinAnswerTime clock.Millis
+	// MaxWaiting is the maximum number of requests in the queue. Above it the least
+	// urgent ones are refused.
+	MaxWaiting int
 }
 
 // Defaults returns the default settings.
@@ -148,9 +151,14 @@
 		MinAnswerTime:      1_200,
 		RunningShortCost:   50,
 		PrefillWeight:      1,
+		MaxWaiting:         defaultMaxWaiting,
 	}
 }
 
+// defaultMaxWaiting is some 16 requests for each server of a pool. At 64 servers, long
+// prompts behind a full queue would wait for more than 5 s.
+const defaultMaxWaiting = 1_000
+
 // queuedRequest is a request that waits for a server.
 type queuedRequest struct {
 	Request
--- a/internal/policy/grant/grant_test.go
+++ b/internal/policy/grant/grant_test.go
@@ -254,3 +254,28 @@
 	k.Ended(900, "c0", place.OutcomeServed)
 	c.Assert(onlyDecision(c, k.Next(900)).Server, qt.Equals, "s0")
 }
+
+func TestFullQueueRefusesTheLeastUrgent(t *testing.T) {
+	c := qt.New(t)
+	s := grant.Defaults()
+	s.MaxWaiting = 3
+	k := grant.New(s)
+	k.SetServers(newServers(1))
+	k.Enqueue(0, newLongRequest("running", "thing"))
+	onlyDecision(c, k.Next(0))
+	for i := range 3 {
+		k.Enqueue(1, newLongRequest(fmt.Sprint("low", i), fmt.Sprint("other", i)))
+	}
+	c.Assert(k.Next(1), qt.HasLen, 0)
+	urgent := newLongRequest("high", "another")
+	urgent.Tier = 1
+	k.Enqueue(2, urgent)
+	d := onlyDecision(c, k.Next(2))
+	c.Assert(d.ID, qt.Equals, "low2")
+	c.Assert(d.Server, qt.Equals, "")
+	c.Assert(d.Reason, qt.Equals, "QueueFull")
+	c.Assert(d.RetryAfter > 0, qt.IsTrue)
+	c.Assert(k.Waiting(), qt.Equals, 3)
+	k.FirstEvent(400, "running")
+	c.Assert(onlyDecision(c, k.Next(500)).ID, qt.Equals, "high")
+}
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -84,7 +84,8 @@
 }
 
 // Next grants or refuses the waiting requests. Requests for which no server is ready
-// stay in the queue.
+// stay in the queue, up to MaxWaiting of them: the queue has a bound so that the time
+// for a round has one, and it refuses the least urgent requests rather than the latest.
 func (c *Core) Next(now clock.Millis) []Decision {
 	var decisions []Decision
 	c.expireGrants(now)
@@ -105,8 +106,11 @@
 		if c.short(c.class(q.Class)) {
 			kind = 1
 		}
-		d, ok := c.decide(now, q, usable, shortCount,
-			queuedPrefill[kind]/float64(reservedServers(len(usable), shortCount, kind)))
+		ahead := queuedPrefill[kind] / float64(reservedServers(len(usable), shortCount, kind))
+		d, ok := Decision{Reason: "QueueFull", RetryAfter: clock.Millis(ahead)}, true
+		if len(remaining) < c.settings.MaxWaiting {
+			d, ok = c.decide(now, q, usable, shortCount, ahead)
+		}
 		if !ok {
 			remaining = append(remaining, q)
 			queuedPrefill[kind] += c.minPrefill(q.Request)
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -103,6 +103,7 @@
 var keeperReasons = map[string]refuse.Reason{
 	"NoServer":  refuse.ReasonNoServer,
 	"OutOfTime": refuse.ReasonFull,
+	"QueueFull": refuse.ReasonFull,
 }
 
 // keeperRefusal returns the caller's refusal for a keeper's decision without a server.
--- a/internal/share/link/node.go
+++ b/internal/share/link/node.go
@@ -17,7 +17,7 @@
 const (
 	DefaultMaxFrame         = 16 << 20 // bytes
 	DefaultMaxQueue         = 4096     // messages queued for one peer
-	DefaultMaxCalls         = 1024     // inbound calls handled concurrently
+	DefaultMaxCalls         = 4096     // inbound calls handled concurrently; a grant request is one while it waits
 	DefaultMaxHandshakes    = 64       // inbound connections in the handshake
 	DefaultHandshakeTimeout = 2 * clock.Second
 	DefaultDialTimeout      = 500 * clock.Millis(1)
