A response is cut off whose chunk extension has no end

Callers: a server in trouble sends bytes without end until its caller closes; the host read them until the request's deadline, and without a deadline forever.

Cause: the size of a body is counted, but an extension of a chunk is not part of it, and the reader skips it byte by byte.

Fix: the bytes of a response are counted where they are read from the connection. Beyond the header's limit and twice the body's the connection is closed with ErrTooLarge, whatever the bytes are taken for.

--- a/internal/fakes/hangup/hangup.go
+++ b/internal/fakes/hangup/hangup.go
@@ -1,6 +1,6 @@
 // Package hangup is an HTTP/1.1 test server that closes or resets its
 // connections at a chosen point of a request, or stops responding there, and
-// counts the requests that it received. It works on raw connections rather than
+// counts the requests that it received. It can also send bytes without end. It works on raw connections rather than
 // net/http's server, so that a test controls exactly where the bytes end.
 //
 // # Usage
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Point is the point of a request at which the server ends the connection.
@@ -86,8 +87,12 @@
 	at       Point
 	mode     CutMode
 	response string
-	runs     map[string]int
-	started  int
+	// endless, if not empty, is sent again and again after the response, with a pause
+	// in between.
+	endless string
+	pause   time.Duration
+	runs    map[string]int
+	started int
 	// accepted holds every connection since Start, including those that have ended.
 	accepted []net.Conn
 }
@@ -139,6 +144,14 @@
 	s.response = response
 }
 
+// SetEndless makes the server send a text again and again after each response, with a
+// pause in between, until the client closes the connection.
+func (s *Server) SetEndless(text string, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless, s.pause = text, pause
+}
+
 // Runs returns how often a request with this IDHeader value arrived complete.
 func (s *Server) Runs(id string) int {
 	s.mu.Lock()
@@ -235,12 +248,16 @@
 // reports whether the connection stays open.
 func (s *Server) respond(conn net.Conn) bool {
 	s.mu.Lock()
-	at, response := s.at, s.response
+	at, response, endless, pause := s.at, s.response, s.endless, s.pause
 	s.mu.Unlock()
 	if n, ok := truncatedBytes[at]; ok {
 		_, _ = io.WriteString(conn, response[:n])
 		return false
 	}
-	_, _ = io.WriteString(conn, response)
+	_, err := io.WriteString(conn, response)
+	for endless != "" && err == nil {
+		time.Sleep(pause)
+		_, err = io.WriteString(conn, endless)
+	}
 	return at != AfterResponse
 }
--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -21,7 +21,9 @@
 	// body has begun. It is 0 afterwards.
 	bodyBeginTimeout time.Duration
 	accepted         int
-	used             bool
+	// readable is the number of bytes that may still be read for this response.
+	readable int
+	used     bool
 }
 
 func (c *Client) dial(address string) (net.Conn, error) {
@@ -33,10 +35,12 @@
 	return &conn{Conn: tcp, progressTimeout: progressTimeout.Duration()}, nil
 }
 
-// prepare resets the connection's state for one request.
-func (c *conn) prepare(r Request) {
+// prepare resets the connection's state for one request, whose response may have
+// maxBytes with its framing.
+func (c *conn) prepare(r Request, maxBytes int) {
 	c.accepted = 0
 	c.used = true
+	c.readable = maxBytes
 	c.firstByteTimeout = r.FirstByteTimeout.Duration()
 	c.bodyBeginTimeout = r.BodyBeginTimeout.Duration()
 }
@@ -45,6 +49,9 @@
 func (c *conn) bodyBegun() { c.bodyBeginTimeout = 0 }
 
 func (c *conn) Read(p []byte) (int, error) {
+	if c.readable <= 0 {
+		return 0, ErrTooLarge
+	}
 	wait := max(c.progressTimeout, c.bodyBeginTimeout)
 	if c.firstByteTimeout > 0 {
 		wait = c.firstByteTimeout
@@ -53,7 +60,9 @@
 	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p[:min(len(p), c.readable)])
+	c.readable -= n
+	return n, err
 }
 
 // Write sets a new deadline for every maxWriteBytes, so that a long body on a slow
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -68,7 +68,7 @@
 		open := t.conn
 		t.ctx, t.cancel = context.WithCancel(ctx)
 		t.unwatch = context.AfterFunc(t.ctx, func() { _ = open.Close() })
-		open.prepare(t.request)
+		open.prepare(t.request, t.client.maxResponseBytes())
 		return nil
 	}
 }
@@ -178,6 +178,9 @@
 		t.pool.CloseIdleConnections()
 		return fmt.Errorf("%w: %w", ErrUnresponsive, err)
 	}
+	if errors.Is(err, ErrTooLarge) {
+		return err
+	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -12,6 +12,10 @@
 //
 // Only SentNothing proves that the request did not run.
 //
+// A server in trouble may send bytes without end, in the header, the body or what
+// frames it. The bytes of a response are counted on its connection, and beyond the
+// limits of its size the connection is closed.
+//
 // Established connections can stall for good while new ones work. A connection
 // that makes no progress for ProgressTimeout is closed, together with the idle
 // connections to its address. A pooled connection is checked before use: one that
@@ -147,7 +151,8 @@
 	IdleTimeout clock.Millis
 	// MaxConnections bounds the connections to one address.
 	MaxConnections int
-	// MaxHeaderBytes and MaxBodyBytes bound the size of a response.
+	// MaxHeaderBytes and MaxBodyBytes bound the size of a response. What frames the
+	// chunks of a body may take as many bytes again as the body.
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 
@@ -199,6 +204,11 @@
 	return pool.ConnsCount()
 }
 
+// maxResponseBytes returns the limit for the bytes of one response on its connection.
+func (c *Client) maxResponseBytes() int {
+	return orElse(c.MaxHeaderBytes, defaultMaxHeaderBytes) + 2*orElse(c.MaxBodyBytes, defaultMaxBodyBytes)
+}
+
 func (c *Client) pool(address string) *fasthttp.HostClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
