A header that arrives byte by byte counts as unresponsive

Callers: a request that may run again was held by a server in trouble until its deadline, though another server would have answered.

Cause: the timeout for the first byte of a response ended with that byte. Each further byte of the header renewed the timeout for progress, so that a header without end, sent slowly, was never late.

Fix: HeaderTimeout replaces FirstByteTimeout and holds until the header is complete; its end is fixed at the first read. For a request that may not run again it is the time left, as before, so that no answer is given up sooner.

--- a/internal/serve/calls/calls.go
+++ b/internal/serve/calls/calls.go
@@ -188,11 +188,11 @@
 			headers = append(headers, wire.Header{Name: HeaderFencingNumber, Value: strconv.FormatUint(fence, 10)})
 		}
 		request := wire.Request{
-			Address:          address,
-			Method:           method,
-			Path:             path,
-			Headers:          headers,
-			FirstByteTimeout: c.FirstTimeout,
+			Address:       address,
+			Method:        method,
+			Path:          path,
+			Headers:       headers,
+			HeaderTimeout: c.FirstTimeout,
 		}
 		if method == call.Method {
 			request.Body = call.Body
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -47,30 +47,30 @@
 	return r
 }
 
-// firstByteTimeout returns the timeout for the first byte of the response, in
-// milliseconds. It is shorter than the time left only for a request that may run
-// again, since no other gains by an early timeout.
-func (j *job) firstByteTimeout() clock.Millis {
+// headerTimeout returns the timeout for the header of the response, in milliseconds.
+// It is shorter than the time left only for a request that may run again, since no
+// other gains by an early timeout.
+func (j *job) headerTimeout() clock.Millis {
 	left := max(j.deadline-j.proxy.Clock.Now(), 1)
 	if !j.route.Repeatable() || j.sends+1 >= j.route.MaxServers {
 		return left
 	}
-	return min(left, max(firstByteTargetFactor*j.route.Target, minFirstByteTimeout))
+	return min(left, max(headerTargetFactor*j.route.Target, minHeaderTimeout))
 }
 
 const (
-	// firstByteTargetFactor times the route's target is the first-byte timeout of a
+	// headerTargetFactor times the route's target is the header timeout of a
 	// repeatable request. After it another server is tried.
-	firstByteTargetFactor = 2
-	// minFirstByteTimeout is the minimum of that timeout for very short targets, in
+	headerTargetFactor = 2
+	// minHeaderTimeout is the minimum of that timeout for very short targets, in
 	// milliseconds.
-	minFirstByteTimeout = 500 * clock.Millis(1)
+	minHeaderTimeout = 500 * clock.Millis(1)
 )
 
 // exchange sends the request to the chosen server and classifies the response.
 func (j *job) exchange(ctx context.Context, choice place.Choice) result {
 	r := j.request
-	wait := j.firstByteTimeout()
+	wait := j.headerTimeout()
 	response, sent, err := j.proxy.Client.Do(ctx, wire.Request{
 		Address:          choice.Server.Address,
 		Method:           r.Method,
@@ -78,7 +78,7 @@
 		Host:             r.Host,
 		Headers:          j.headers(choice.Server.ID),
 		Body:             r.Body,
-		FirstByteTimeout: wait,
+		HeaderTimeout:    wait,
 		BodyBeginTimeout: wait,
 	})
 	if sent != wire.SentNothing {
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -208,7 +208,7 @@
 		Path:             job.Path,
 		Headers:          a.headers(),
 		Body:             job.Body,
-		FirstByteTimeout: a.stream.relay.FirstTimeout,
+		HeaderTimeout:    a.stream.relay.FirstTimeout,
 		BodyBeginTimeout: a.firstTokenTimeout(),
 	})
 	a.sent = sent
--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -15,8 +15,10 @@
 	net.Conn
 	// progressTimeout is the timeout of each read and write.
 	progressTimeout time.Duration
-	// firstByteTimeout, if not 0, replaces progressTimeout for the next read.
-	firstByteTimeout time.Duration
+	// headerTimeout, if not 0, replaces progressTimeout until the header is complete.
+	// headerDeadline is its end, counted from the first read.
+	headerTimeout  time.Duration
+	headerDeadline time.Time
 	// bodyBeginTimeout replaces a shorter progressTimeout for reads until the response
 	// body has begun. It is 0 afterwards.
 	bodyBeginTimeout time.Duration
@@ -41,10 +43,14 @@
 	c.accepted = 0
 	c.used = true
 	c.readable = maxBytes
-	c.firstByteTimeout = r.FirstByteTimeout.Duration()
+	c.headerTimeout = r.HeaderTimeout.Duration()
+	c.headerDeadline = time.Time{}
 	c.bodyBeginTimeout = r.BodyBeginTimeout.Duration()
 }
 
+// headerEnded ends the timeout of the header.
+func (c *conn) headerEnded() { c.headerTimeout = 0 }
+
 // bodyBegun ends the timeout that holds until the response body begins.
 func (c *conn) bodyBegun() { c.bodyBeginTimeout = 0 }
 
@@ -52,12 +58,7 @@
 	if c.readable <= 0 {
 		return 0, ErrTooLarge
 	}
-	wait := max(c.progressTimeout, c.bodyBeginTimeout)
-	if c.firstByteTimeout > 0 {
-		wait = c.firstByteTimeout
-		c.firstByteTimeout = 0
-	}
-	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+	if err := c.SetReadDeadline(c.readDeadline(time.Now())); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.readable)])
@@ -65,6 +66,18 @@
 	return n, err
 }
 
+// readDeadline returns the deadline of the next read. That of the header does not move
+// while the header arrives.
+func (c *conn) readDeadline(now time.Time) time.Time {
+	if c.headerTimeout == 0 {
+		return now.Add(max(c.progressTimeout, c.bodyBeginTimeout))
+	}
+	if c.headerDeadline.IsZero() {
+		c.headerDeadline = now.Add(c.headerTimeout)
+	}
+	return c.headerDeadline
+}
+
 // Write sets a new deadline for every maxWriteBytes, so that a long body on a slow
 // connection does not time out while it makes progress.
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/serve/wire/endless_test.go
+++ b/internal/serve/wire/endless_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// A header that arrives a byte at a time makes progress forever.
+func TestTricklingHeaderIsUnresponsive(t *testing.T) {
+	c := qt.New(t)
+	s := start(c)
+	s.SetResponse(status + "X-Long: ")
+	s.SetEndless("x", 5*time.Millisecond)
+	client := &wire.Client{ProgressTimeout: longTimeout}
+	began := time.Now()
+	_, sent, err := client.Do(t.Context(), wire.Request{Address: s.Address(), Method: "GET", Path: "/", HeaderTimeout: shortTimeout})
+	c.Assert(err, qt.ErrorIs, wire.ErrUnresponsive)
+	c.Assert(sent, qt.Equals, wire.SentAll)
+	c.Assert(client.Connections(s.Address()), qt.Equals, 0)
+	s.Wait()
+	c.Assert(time.Since(began) < longTimeout*time.Millisecond/2, qt.IsTrue)
+}
+
 func TestBytesAfterResponseCloseConnection(t *testing.T) {
 	c := qt.New(t)
 	s := start(c)
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -120,6 +120,7 @@
 	if err := t.response.ReadLimitBody(t.reader, 0); err != nil {
 		return Response{}, err
 	}
+	t.conn.headerEnded()
 	header := &t.response.Header
 	response := Response{
 		Status:    header.StatusCode(),
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -14,7 +14,8 @@
 //
 // A server in trouble may send bytes without end, in the header, the body or what
 // frames it. The bytes of a response are counted on its connection, and beyond the
-// limits of its size the connection is closed.
+// limits of its size the connection is closed. HeaderTimeout ends a header that arrives
+// byte by byte.
 //
 // Established connections can stall for good while new ones work. A connection
 // that makes no progress for ProgressTimeout is closed, together with the idle
@@ -97,9 +98,9 @@
 	Host    string
 	Headers []Header
 	Body    []byte
-	// FirstByteTimeout bounds the wait for the first byte of the response, in
-	// milliseconds; 0 means the client's ProgressTimeout.
-	FirstByteTimeout clock.Millis
+	// HeaderTimeout bounds the wait for the whole header of the response, in
+	// milliseconds; 0 means that each read of it has the client's ProgressTimeout.
+	HeaderTimeout clock.Millis
 	// BodyBeginTimeout bounds each read of the response body until
 	// Response.BodyBegun is called, in milliseconds, if it is longer than
 	// ProgressTimeout.
--- a/internal/tools/loads/callers.go
+++ b/internal/tools/loads/callers.go
@@ -102,8 +102,8 @@
 			{Name: "X-Class", Value: c.Name},
 			{Name: "Content-Type", Value: "application/json"},
 		},
-		Body:             body,
-		FirstByteTimeout: answerTimeout,
+		Body:          body,
+		HeaderTimeout: answerTimeout,
 	}
 }
 
@@ -210,8 +210,8 @@
 				{Name: "Authorization", Value: "Bearer " + l.Settings.Key},
 				{Name: "Idempotency-Key", Value: key},
 			},
-			Body:             []byte(fmt.Sprintf(`{"Stall": %d}`, n)),
-			FirstByteTimeout: answerTimeout,
+			Body:          []byte(fmt.Sprintf(`{"Stall": %d}`, n)),
+			HeaderTimeout: answerTimeout,
 		})
 		if err != nil {
 			l.stats.recordNoAnswer(host)
