A response that is too long is not served as a complete one

Callers: of a response without a Content-Length that was longer than 8 MiB, a caller got the first 8 MiB as a complete answer. A server in trouble that sends bytes without end is such a response.

Cause: the reader stopped at its limit and took that for the end of the body. Only a Content-Length was compared with what had been read.

Fix: one byte more than the limit is read, and with that byte the response counts as broken (cause TooLong).

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -61,6 +61,15 @@
 	Unframed Behavior = "Unframed"
 	// Early answers before it has read the request body.
 	Early Behavior = "Early"
+	// EndlessHeader, EndlessBody and EndlessChunks send a header, a body without a
+	// length or a chunked body that go on until the caller closes the connection.
+	EndlessHeader Behavior = "EndlessHeader"
+	EndlessBody   Behavior = "EndlessBody"
+	EndlessChunks Behavior = "EndlessChunks"
+	// EndlessEvent sends the first half of the events of a stream and then an event
+	// that does not end. Trickle sends a stream without any event, a byte at a time.
+	EndlessEvent Behavior = "EndlessEvent"
+	Trickle      Behavior = "Trickle"
 )
 
 // Events is the number of events in a complete stream.
@@ -258,6 +267,9 @@
 // stays open.
 func (o *Origin) perform(c net.Conn, r *http.Request, behavior Behavior) bool {
 	id := r.Header.Get(o.Fields.RequestID)
+	if e, ok := endlessResponses[behavior]; ok {
+		return o.writeEndless(c, id, e)
+	}
 	switch behavior {
 	case Fail:
 		return o.writePlain(c, 500, id, "failed", "")
@@ -287,6 +299,38 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// endlessBytes is the length of the text that endless bodies repeat.
+const endlessBytes = 4_000
+
+const chunkedBody = "Transfer-Encoding: chunked\r\n\r\n"
+
+// endlessResponse goes on with begin after the status line and the IDs, and then repeats
+// a text, with a pause in between, until the caller closes the connection.
+type endlessResponse struct {
+	begin, repeated string
+	pause           time.Duration
+}
+
+var endlessResponses = map[Behavior]endlessResponse{
+	EndlessHeader: {"", "X-More: more\r\n", 0},
+	EndlessBody:   {"\r\n", strings.Repeat("x", endlessBytes), 0},
+	EndlessChunks: {chunkedBody, chunk(strings.Repeat("x", endlessBytes)), 0},
+	Trickle:       {chunkedBody, chunk(":"), eventInterval},
+}
+
+func (o *Origin) writeEndless(c net.Conn, id string, e endlessResponse) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n%s",
+		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, e.begin)
+	for err == nil {
+		time.Sleep(e.pause)
+		_, err = fmt.Fprint(c, e.repeated)
+	}
+	return false
+}
+
+// chunk returns a text as a chunk of a chunked body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
 // reset makes the close of the connection send a TCP reset. It returns false, so that
 // the connection is closed.
 func reset(c net.Conn) bool {
@@ -314,7 +358,7 @@
 
 // writeStream writes the events after the one that the request's LastEvent field
 // names, all of them without that field. Tear resets the connection in the middle
-// of event Events/2.
+// of event Events/2; EndlessEvent makes that event endless.
 func (o *Origin) writeStream(c net.Conn, r *http.Request, behavior Behavior) bool {
 	first := 1
 	if last := r.Header.Get(o.Fields.LastEvent); last != "" {
@@ -329,12 +373,17 @@
 	for n := first; n <= Events && err == nil; n++ {
 		event := Event(n)
 		if behavior == Tear && n == Events/2 {
-			half := event[:len(event)/2]
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(half), half)
+			_, _ = fmt.Fprint(c, chunk(event[:len(event)/2]))
 			time.Sleep(eventInterval)
 			return reset(c)
 		}
-		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		for behavior == EndlessEvent && n == Events/2 && err == nil {
+			_, err = fmt.Fprint(c, chunk("data: "+strings.Repeat("x", endlessBytes)))
+		}
+		if err != nil {
+			return false
+		}
+		_, err = fmt.Fprint(c, chunk(event))
 		time.Sleep(eventInterval)
 	}
 	if err == nil {
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -120,9 +120,8 @@
 	}
 }
 
-// maxBufferedBytes is the maximum number of body bytes that forwardWhole reads. A
-// response with a longer Content-Length counts as broken; one without Content-Length
-// is cut there and forwarded.
+// maxBufferedBytes is the maximum length of a body that forwardWhole reads. A response
+// with a longer one counts as broken.
 const maxBufferedBytes = 8 << 20
 
 // forwardWhole buffers the response, up to maxBufferedBytes, before forwarding it, so
@@ -134,10 +133,13 @@
 		j.writer.WholeHead(response.Status, headers, response.Length)
 		return result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return failedResult(err, wire.SentAll)
 	}
+	if len(body) > maxBufferedBytes {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "TooLong"}
+	}
 	if response.Length >= 0 && len(body) != response.Length {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
 	}
--- /dev/null
+++ b/internal/serve/proxy/endless_test.go
@@ -0,0 +1,58 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/fakes/origin"
+)
+
+// A server in trouble sends bytes until its caller closes the connection. What the
+// caller of the host gets must neither look complete nor wait for the deadline where
+// another server may answer.
+func TestEndlessResponseIsNotForwarded(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		path     string
+		stream   bool
+		behavior origin.Behavior
+		status   int
+		whole    bool
+		runs     int
+	}{
+		{"a safe call with an endless header is sent to a second server", "/lookup/", false, origin.EndlessHeader, 200, true, 2},
+		{"a safe call with an endless body is sent to a second server", "/lookup/", false, origin.EndlessBody, 200, true, 2},
+		{"a safe call with endless chunks is sent to a second server", "/lookup/", false, origin.EndlessChunks, 200, true, 2},
+		{"an unsafe call with an endless header has an unknown outcome", "/booking/", false, origin.EndlessHeader, 502, true, 1},
+		{"an unsafe call with an endless body has an unknown outcome", "/booking/", false, origin.EndlessBody, 502, true, 1},
+		{"an unsafe call with endless chunks has an unknown outcome", "/booking/", false, origin.EndlessChunks, 502, true, 1},
+		{"a stream with an endless event is resumed at a second server", "/resumed/", true, origin.EndlessEvent, 200, true, 2},
+		{"a stream with an endless event that cannot be resumed breaks off", "/once/", true, origin.EndlessEvent, 200, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, r := start(t, 2, test.stream)
+			setActs(r, []origin.Behavior{test.behavior, origin.Answer})
+			began := time.Now()
+			got := r.send("POST", test.path, "r1", "Content-Length: 0\r\n")
+			c.Assert(time.Since(began) < 1_900*time.Millisecond, qt.IsTrue) // the route's limit is 2 s
+			c.Assert(got.status, qt.Equals, test.status)
+			c.Assert(got.whole, qt.Equals, test.whole)
+			c.Assert(r.runs("r1"), qt.Equals, test.runs)
+			switch {
+			case test.status != 200:
+				c.Assert(got.headers.Get("Stamp"), qt.Equals, "")
+			case test.stream && test.whole:
+				c.Assert(got.body, qt.Equals, origin.FullStream())
+			case test.stream:
+				c.Assert(got.body, qt.Equals, origin.FullStream()[:len(got.body)])
+			default:
+				c.Assert(isOriginResponse(got.body), qt.IsTrue)
+			}
+			for began := time.Now(); r.connections() > 1; time.Sleep(time.Millisecond) {
+				c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("the connection to the server stays open"))
+			}
+		})
+	}
+}
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -116,6 +116,15 @@
 	return n
 }
 
+// connections returns the number of open connections to all servers.
+func (r *harness) connections() int {
+	n := 0
+	for _, s := range r.servers {
+		n += s.Connections()
+	}
+	return n
+}
+
 // response is a response as the caller received it. whole is set if the body was
 // complete; the status is 0 if there was no response.
 type response struct {
