An event without an end counts as a failure of its server

Callers: a stream whose server sent an event without an end was logged as left by its caller (CallerGone), and the server went on to get requests. A stream whose server sent bytes that completed no event, slowly, was held until its deadline though it may run at another server.

Cause: an event beyond the limit ended the attempt as Cancelled, the outcome of a caller that has gone, which says nothing of the server. And any byte of a body counted as the begin of the answer.

Evidence: TestServerWithEndlessEventsIsAvoided and the case of the stream without any event fail on the code before; the latter took the route's whole limit of 2 s.

Fix: such an event ends the attempt as Broken (cause TooLong). The answer begins with the first complete event, and that is due at the end of the attempt's timeout, however steadily bytes arrive. The limit of an event is 256 KiB instead of 1 MiB: at 10 Mbit/s, the link of the smallest hosts, it takes 0.2 s.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -71,6 +71,7 @@
 func (j *job) exchange(ctx context.Context, choice place.Choice) result {
 	r := j.request
 	wait := j.headerTimeout()
+	firstEventBy := j.proxy.Clock.Now() + wait
 	response, sent, err := j.proxy.Client.Do(ctx, wire.Request{
 		Address:          choice.Server.Address,
 		Method:           r.Method,
@@ -100,7 +101,7 @@
 		return result{outcome: place.OutcomeFull, sent: retry.SentNothing, cause: "NotRun"}
 	}
 	if j.route.Kind == route.KindStream && response.Status < fasthttp.StatusMultipleChoices {
-		return j.forwardStream(response)
+		return j.forwardStream(response, firstEventBy)
 	}
 	if j.headerSent {
 		return result{outcome: place.OutcomeFailed, sent: retry.SentWhole, cause: "ResumeFailed"}
--- a/internal/serve/proxy/endless_test.go
+++ b/internal/serve/proxy/endless_test.go
@@ -1,12 +1,15 @@
 package proxy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/policy/place"
 )
 
 // A server in trouble sends bytes until its caller closes the connection. What the
@@ -29,6 +32,7 @@
 		{"an unsafe call with an endless body has an unknown outcome", "/booking/", false, origin.EndlessBody, 502, true, 1},
 		{"an unsafe call with endless chunks has an unknown outcome", "/booking/", false, origin.EndlessChunks, 502, true, 1},
 		{"a stream with an endless event is resumed at a second server", "/resumed/", true, origin.EndlessEvent, 200, true, 2},
+		{"a stream without any event is sent to a second server", "/resumed/", true, origin.Trickle, 200, true, 2},
 		{"a stream with an endless event that cannot be resumed breaks off", "/once/", true, origin.EndlessEvent, 200, false, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,3 +60,16 @@
 		})
 	}
 }
+
+// The server must be counted as failed, or it gets the next requests too.
+func TestServerWithEndlessEventsIsAvoided(t *testing.T) {
+	c, r := start(t, 2, true)
+	for _, s := range r.servers {
+		s.SetDefault(origin.EndlessEvent)
+	}
+	for i := range place.FailureThreshold {
+		r.send("POST", "/resumed/", fmt.Sprint("s", i), "Content-Length: 0\r\n")
+	}
+	r.forwarder.UpdateGauges()
+	c.Assert(r.count.Gauge(meter.Servers, meter.Label("state", "Avoided")), qt.Equals, int64(2))
+}
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/serve/wire"
@@ -17,9 +18,10 @@
 
 var eventBuffers = sync.Pool{New: func() any { return &eventBuffer{buffer: make([]byte, 0, initialBufferBytes)} }}
 
-// maxEventBytes is the maximum size of one event of a stream. A longer one ends the
-// attempt with OutcomeCancelled.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of one event of a stream. A server that sends more
+// has failed. Hosts hold one event for each open stream, and the smallest ones have
+// 184 MB and a link of 10 Mbit/s.
+const maxEventBytes = 256 << 10
 
 // eventBuffer collects the bytes of a stream and splits off complete events.
 type eventBuffer struct {
@@ -82,29 +84,36 @@
 // forwardStream forwards the events of a response as they arrive. Of a
 // stream that breaks off it forwards only complete events, so that the stream can be
 // resumed at another server. The rest of a stream that the server ended is forwarded
-// as it is.
-func (j *job) forwardStream(response wire.Response) result {
+// as it is. The first event is due at firstEventBy: bytes that complete no event are
+// no answer, however steadily they arrive.
+func (j *job) forwardStream(response wire.Response, firstEventBy clock.Millis) result {
 	c := eventBuffers.Get().(*eventBuffer)
 	c.buffer = c.buffer[:0]
 	defer eventBuffers.Put(c)
+	begun := false
 	for {
 		n, err := response.Body.Read(c.spare())
 		c.grow(n)
-		if n > 0 && response.BodyBegun != nil {
-			response.BodyBegun()
-		}
 		if errors.Is(err, io.EOF) {
 			return j.endStream(response, c)
 		}
 		if end := c.completeBytes(); end > 0 {
 			j.forwardEvents(response, c.buffer[:end])
 			c.drop(end)
+			if !begun && response.BodyBegun != nil {
+				response.BodyBegun()
+			}
+			begun = true
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			return failedResult(err, wire.SentAll)
-		}
-		if len(c.buffer) > maxEventBytes || j.writer.Broken() {
+		case j.writer.Broken():
 			return result{outcome: place.OutcomeCancelled, sent: retry.SentWhole, cause: "CallerGone"}
+		case len(c.buffer) > maxEventBytes:
+			return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "TooLong"}
+		case !begun && j.proxy.Clock.Now() > firstEventBy:
+			return result{outcome: place.OutcomeSilent, sent: retry.SentWhole, cause: "Silent"}
 		}
 	}
 }
