Responses that are read whole share a bounded part of the memory

Callers: a host whose servers send without end to many requests at a time runs out of memory, and all its requests are lost with the process.

Cause: each response had its own limit of 8 MiB, and nothing bounded all of them together. At 1 Gbit/s and 284 MB, a host of seven, the link fills the memory in about two seconds (worked out, not played).

A single one can still have 8 MiB; of many endless ones each ends early, counts as broken and gives its memory back, and the first 4 KiB of a response are never refused. siskinsaddle_buffered_bytes shows it.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -45,6 +45,7 @@
 	GrantTime       = "siskinsaddle_grant_milliseconds"
 	RoundTime       = "siskinsaddle_decision_round_milliseconds"
 	WaitingRequests = "siskinsaddle_waiting_requests"
+	BufferedBytes   = "siskinsaddle_buffered_bytes"
 )
 
 // Metric describes one metric.
@@ -76,6 +77,7 @@
 	{Manifest, "Gauge", "version", "", "version of the manifest in force"},
 	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
+	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded"},
 	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided"},
 	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
 	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -122,7 +121,7 @@
 }
 
 // maxBufferedBytes is the maximum length of a body that forwardWhole reads. A response
-// with a longer one counts as broken.
+// with a longer one counts as broken, and so does one that finds no memory left.
 const maxBufferedBytes = 8 << 20
 
 // forwardWhole buffers the response, up to maxBufferedBytes, before forwarding it, so
@@ -134,13 +133,14 @@
 		j.writer.WholeHead(response.Status, headers, response.Length)
 		return result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, held, err := j.proxy.buffers.readAll(response.Body, maxBufferedBytes)
+	j.buffered += held
+	if errors.Is(err, errTooLong) {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "TooLong"}
+	}
 	if err != nil {
 		return failedResult(err, wire.SentAll)
 	}
-	if len(body) > maxBufferedBytes {
-		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "TooLong"}
-	}
 	if response.Length >= 0 && len(body) != response.Length {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
 	}
--- a/internal/serve/proxy/endless_test.go
+++ b/internal/serve/proxy/endless_test.go
@@ -54,8 +54,10 @@
 			default:
 				c.Assert(isOriginResponse(got.body), qt.IsTrue)
 			}
-			for began := time.Now(); r.connections() > 1; time.Sleep(time.Millisecond) {
-				c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("the connection to the server stays open"))
+			// The connections close and the memory is released after the caller's response.
+			for began := time.Now(); r.connections() > 1 || r.buffered() > 0; time.Sleep(time.Millisecond) {
+				c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue,
+					qt.Commentf("%d connections are open, %d bytes are held", r.connections(), r.buffered()))
 			}
 		})
 	}
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -16,6 +16,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/place"
@@ -125,6 +126,12 @@
 	return n
 }
 
+// buffered returns the memory of responses that are read whole.
+func (r *harness) buffered() int64 {
+	r.forwarder.UpdateGauges()
+	return r.count.Gauge(meter.BufferedBytes)
+}
+
 // response is a response as the caller received it. whole is set if the body was
 // complete; the status is 0 if there was no response.
 type response struct {
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -43,6 +43,8 @@
 	sends int
 	// mayHaveRun is set once a server may have begun to run the request.
 	mayHaveRun bool
+	// buffered is the number of bytes reserved for responses that were read whole.
+	buffered int
 	// serverError is a server's error response, which the caller gets if no further
 	// attempt succeeds.
 	serverError *bufferedResponse
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -107,6 +107,7 @@
 	// draining is cancelled by startDrain when waiting requests are to be refused.
 	draining   context.Context
 	startDrain context.CancelFunc
+	buffers    buffers
 	// mu guards Placer and Repeats.
 	mu sync.Mutex
 	// droppedRequestFields are the lower-case names of request fields that are not forwarded.
@@ -136,11 +137,15 @@
 	RepeatRatio  float64
 	RepeatSlack  float64
 	RepeatWindow clock.Millis
+	// MaxBuffered is the limit for all responses that are read whole before they are
+	// forwarded, in bytes; 0 means 64 MiB.
+	MaxBuffered int64
 }
 
 // Apply sets the limits. The count of repeats starts anew if its limits changed.
 func (p *Proxy) Apply(l Limits) {
 	p.maxKeyAge.Store(int64(l.MaxKeyAge))
+	p.buffers.setLimit(l.MaxBuffered)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.Repeats == nil || !p.Repeats.HasLimits(l.RepeatRatio, l.RepeatSlack, l.RepeatWindow) {
@@ -180,6 +185,7 @@
 		avoided += len(p.Placer.AvoidedServers(now, service))
 		p.Count.Set(meter.RepeatsLeft, int64(p.Repeats.Remaining(now, service, p.Hosts())), meter.Label("service", service))
 	}
+	p.Count.Set(meter.BufferedBytes, p.buffers.used.Load())
 	state := func(name string, n int) { p.Count.Set(meter.Servers, int64(n), meter.Label("state", name)) }
 	state("Leaving", leaving)
 	state("Avoided", avoided)
@@ -198,6 +204,7 @@
 	defer cancel()
 	j.callerCtx = ctx
 	j.run(limited)
+	p.buffers.release(j.buffered)
 }
 
 // The retry delays given with refusals, in milliseconds.
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -61,6 +61,9 @@
 const (
 	// memoryShare is the Go runtime's memory limit as a share of the host's memory.
 	memoryShare = 0.6
+	// bufferShare is the share of the host's memory for responses that are read whole.
+	// The garbage of growing buffers takes as much again.
+	bufferShare = 0.12
 	// keyMargin is subtracted from the platform's revocation bound to get the
 	// maximum age of a manifest confirmation under which keys are accepted, in
 	// milliseconds. It covers the time a request takes to reach a server, also
@@ -185,6 +188,7 @@
 		RepeatRatio:  s.Bounds.RepeatRatio,
 		RepeatSlack:  s.Bounds.RepeatSlack,
 		RepeatWindow: s.Bounds.RepeatWindow,
+		MaxBuffered:  int64(float64(s.MemoryBytes) * bufferShare),
 	}
 	if s.Bounds.RevokeStrict {
 		limits.MaxKeyAge = s.Bounds.Revoke - keyMargin
