An error response without an end is not passed on as a complete one

Callers of the completions API: of a server's error response longer than 64 KiB they got the first 64 KiB as if it were whole.

Of the other readers with a limit, calls compares with it, and the lists of cached segments, of an engine's state and of stored objects do not decode if they are cut.

Evidence: TestEndlessErrorResponseCountsAsBroken fails on the code before.

--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -296,13 +296,14 @@
 	return update{}, true
 }
 
-// maxFinalBytes limits the body of an error response that is passed on.
+// maxFinalBytes limits the body of an error response that is passed on. A server that
+// sends more has failed.
 const maxFinalBytes = 64 << 10
 
 // readFinal reads an error response that is passed on to the caller.
 func (a *attempt) readFinal(answer wire.Response) update {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxFinalBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxFinalBytes+1))
+	if err != nil || len(body) > maxFinalBytes {
 		return update{kind: updateFailed, cause: CauseBroken}
 	}
 	return update{kind: updateFinal, final: &Final{Status: answer.Status, Body: body}}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -256,6 +256,24 @@
 	c.Assert(last.End, qt.IsTrue)
 }
 
+// An error response without an end must not be passed on as a complete one.
+func TestEndlessErrorResponseCountsAsBroken(t *testing.T) {
+	c := qt.New(t)
+	endless := func(_ context.Context, r wire.Request) (wire.Response, wire.Sent, error) {
+		a := answer(400, "", r.Headers...)
+		a.Body = io.NopCloser(endlessBody{})
+		return a, wire.SentAll, nil
+	}
+	words, last := newFixture(c, endless, streams(whole, "a")).run(c)
+	c.Assert(last.Final, qt.IsNil)
+	c.Assert(last.End, qt.IsTrue)
+	c.Assert(words, qt.Equals, "a")
+}
+
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
 // A 400 from the server is passed on to a caller that has received nothing yet.
 func TestClientErrorIsPassedOn(t *testing.T) {
 	c := qt.New(t)
