Requests of a lost host leave its keeper's queue

Callers: after a host or its connection to the keeper was lost, servers stood idle for requests that nobody would send, while others waited.

Cause: a host whose connection breaks asks another keeper, but the call that it left behind went on at the first one: the context of a call ended with the process, not with its connection. The request stayed in the queue, was granted and counted as running until half a second after its deadline.

Evidence: TestRequestsOfLostHostLeaveTheQueue (still waiting after 5 s) and TestCallEndsWithItsConnection (after 10 s) fail on the code before.

Fix: the context of a call ends with its connection, and the keeper takes back a decision that can no longer be delivered. The other handlers of calls do not wait or, like that of the platform's state, gain by the end.

--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -375,7 +375,13 @@
 		return nil, err
 	}
 	m.Request.Host = from.Name
-	return b.poolKeeper(pool{m.Service, m.Pool}).request(ctx, m.Request)
+	k := b.poolKeeper(pool{m.Service, m.Pool})
+	d, err := k.request(ctx, m.Request)
+	if err == nil && ctx.Err() != nil {
+		// The host does not get the decision, so it sends nothing to the server.
+		k.handleEvent(eventMessage{ID: m.Request.ID, Kind: eventEnded, Outcome: place.OutcomeCancelled})
+	}
+	return d, err
 }
 
 func (b *Broker) handleEvent(_ context.Context, _ link.Peer, body []byte) (any, error) {
--- a/internal/share/broker/broker_test.go
+++ b/internal/share/broker/broker_test.go
@@ -101,6 +101,17 @@
 	g.hosts[name] = &host{broker: b, count: counters, stop: stop}
 }
 
+// setOnlyKeeper makes all hosts but one too weak for a keeper.
+func (g *group) setOnlyKeeper(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range g.members {
+		if g.members[i].Name != name {
+			g.members[i].Cores = 0.1
+		}
+	}
+}
+
 func newRequest(id, segment string) grant.Request {
 	return grant.Request{
 		ID: id, Class: "review", Tokens: 17_000, Target: 2_500, TimeLeft: 8_000,
@@ -208,6 +219,34 @@
 	c.Assert(g.requestGrant("h0", newRequest("next", "thing")).Reason, qt.Equals, "Cached")
 }
 
+// A host that dies or loses its connection asks elsewhere. Its requests must not stay in
+// the queue: once granted, they would hold servers for requests that nobody sends.
+func TestRequestsOfLostHostLeaveTheQueue(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, 2, 1)
+	g.setOnlyKeeper("h0")
+	keeper := g.hosts["h0"].broker
+	g.requestGrant("h0", newRequest("r", "thing"))
+	waited := make(chan error, 1)
+	go func() {
+		lost := newRequest("lost", "thing")
+		lost.TimeLeft = clock.Minute
+		_, err := g.hosts["h1"].broker.RequestGrant(context.Background(), service, lost)
+		waited <- err
+	}()
+	waitFor(c, func() bool { return keeper.Waiting(service) == 1 })
+	g.hosts["h1"].stop()
+	c.Assert(<-waited, qt.IsNotNil)
+	waitFor(c, func() bool { return keeper.Waiting(service) == 0 })
+}
+
+// waitFor polls a condition for at most 5 s.
+func waitFor(c *qt.C, condition func() bool) {
+	for began := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	}
+}
+
 // A new keeper must query the servers' cached segments, so that requests go where their
 // segment is cached.
 func TestKeeperQueriesCachedSegmentsOfServers(t *testing.T) {
--- a/internal/share/broker/full_test.go
+++ b/internal/share/broker/full_test.go
@@ -20,9 +20,7 @@
 		target  = 500 * clock.Millis(1)
 	)
 	g := newGroup(c, 2, 8)
-	g.mu.Lock()
-	g.members[1].Cores = 0.1 // too weak for a keeper
-	g.mu.Unlock()
+	g.setOnlyKeeper("h0")
 	b := g.hosts["h1"].broker
 	ctx, cancel := context.WithCancel(context.Background())
 	var waiting sync.WaitGroup
--- a/internal/share/link/inbound.go
+++ b/internal/share/link/inbound.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	peer Peer
 	s    *stream
 	mu   sync.Mutex // guards writes
+	// ctx ends with the connection: no reply can be delivered after it.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // refusalReasons maps handshake errors to the reason label of the refusal counter.
@@ -77,6 +81,8 @@
 		return
 	}
 	i := &inbound{n: n, peer: peer, s: s}
+	i.ctx, i.cancel = context.WithCancel(n.ctx)
+	defer i.cancel()
 	if !i.register() {
 		n.recordRefusal(errors.Wrapf(ErrOldIncarnation, "peer %q", peer.Name))
 		return
@@ -164,7 +170,7 @@
 	if !ok {
 		return nil, errors.Newf("no handler for messages of kind %q", f.Kind)
 	}
-	reply, err := h(i.n.ctx, i.peer, f.Body)
+	reply, err := h(i.ctx, i.peer, f.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -183,6 +189,7 @@
 	}
 	if err != nil {
 		_ = i.s.conn.Close()
+		i.cancel()
 		return
 	}
 	i.n.countMessage("Out", f.Kind, bytes)
--- a/internal/share/link/link_test.go
+++ b/internal/share/link/link_test.go
@@ -233,3 +233,29 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(<-connected, qt.Equals, Peer{Name: "b", Incarnation: 2})
 }
+
+// A handler may wait long for its reply, which nobody gets after the connection ended.
+func TestCallEndsWithItsConnection(t *testing.T) {
+	c := qt.New(t)
+	handling, ended := make(chan struct{}), make(chan struct{})
+	server := &Node{Name: "b", Incarnation: 1, Secret: []byte(goodSecret)}
+	server.Handle("Wait", func(ctx context.Context, _ Peer, _ []byte) (any, error) {
+		close(handling)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	})
+	start(c, server, make(chan string, 1))
+	address := server.Addr()
+	client := start(c, &Node{Name: "a", Incarnation: 1, Secret: []byte(goodSecret), Address: resolveTo(&address)}, make(chan string, 1))
+	called := make(chan error, 1)
+	go func() { called <- client.Call(context.Background(), "b", "Wait", "", nil) }()
+	<-handling
+	client.Disconnect("b")
+	c.Assert(<-called, qt.IsNotNil)
+	select {
+	case <-ended:
+	case <-time.After(testWait):
+		c.Fatal("the handler still waits")
+	}
+}
--- a/internal/share/link/node.go
+++ b/internal/share/link/node.go
@@ -51,7 +51,8 @@
 
 // Handler handles a message. The reply is encoded for a call and ignored for a
 // send. Sends from one peer are handled sequentially, in the order sent, so a
-// handler of sends must not block. Calls are handled concurrently.
+// handler of sends must not block. Calls are handled concurrently; their context ends
+// with the peer's connection, after which the reply cannot be delivered.
 type Handler func(ctx context.Context, from Peer, body []byte) (reply any, err error)
 
 // Node holds this host's connections to its peers and accepts theirs.
