The soak plays responses without an end and bounds the hosts' memory

Its faulty servers also send headers, bodies, chunks and events without an end and streams that trickle.

--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -99,6 +99,8 @@
 	Departures []Departure
 	Versions   []Versions
 	Leaks      []Leak
+	// PeakMemory maps a host to the peak of its process's resident memory, in bytes.
+	PeakMemory map[int]int64
 	// Unrecovered are the hosts that served no request after the last fault.
 	Unrecovered []int
 	End         clock.Millis
@@ -149,6 +151,7 @@
 	{"RepeatsAreBounded", repeatsAreBounded},
 	{"HostsComeBack", hostsComeBack},
 	{"NothingLeaks", nothingLeaks},
+	{"MemoryIsBounded", memoryIsBounded},
 }
 
 func invariants() []string {
@@ -368,6 +371,18 @@
 	return found
 }
 
+// memoryIsBounded finds hosts that took more memory than their settings give them, such as
+// for the responses of servers that send without end.
+func memoryIsBounded(r Record) []string {
+	var found []string
+	for host, bytes := range r.PeakMemory {
+		if bytes > hostMemoryBytes {
+			found = append(found, fmt.Sprintf("host %d took %d MB of %d", host, bytes>>20, hostMemoryBytes>>20))
+		}
+	}
+	return found
+}
+
 // expectedBody returns the body that the server in the stamp sends for the request.
 func expectedBody(s Request) string {
 	if s.Kind == route.KindStream {
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -20,8 +20,9 @@
 			{Kind: KindStop, Host: 0, From: 30_000, Until: 31_000},
 			{Kind: KindPause, Host: 1, From: 9_000, Until: 11_000},
 		},
-		Leaks: []Leak{{Host: 0, Resource: "descriptors", Before: 40, After: 60}},
-		End:   60_000,
+		Leaks:      []Leak{{Host: 0, Resource: "descriptors", Before: 40, After: 60}},
+		PeakMemory: map[int]int64{0: hostMemoryBytes},
+		End:        60_000,
 	}
 	r.add(Request{ID: "book", Kind: route.KindUnsafe, At: 1_000, Ended: 1_050, Status: 200, Whole: true, Body: "answer of i-2", Stamp: "stamp-i-2", AnswerID: "book"}, 1)
 	r.add(Request{ID: "full", Kind: route.KindUnsafe, At: 1_000, Ended: 1_050, Status: 503, Whole: true}, 0)
@@ -81,6 +82,7 @@
 		"NothingLeaks": func(r *Record) {
 			r.Leaks = append(r.Leaks, Leak{Host: 1, Resource: "goroutines", Before: 50, After: 50 + maxResourceGrowth + 1})
 		},
+		"MemoryIsBounded": func(r *Record) { r.PeakMemory[1] = hostMemoryBytes + 1 },
 	}
 	for _, invariant := range invariants() {
 		t.Run(invariant, func(t *testing.T) {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -176,7 +176,10 @@
 }
 
 // faultyActs are the ways in which a faulty server misbehaves.
-var faultyActs = []origin.Behavior{origin.Fail, origin.NotRun, origin.Reset, origin.Tear, origin.Stray, origin.Extra, origin.Early}
+var faultyActs = []origin.Behavior{
+	origin.Fail, origin.NotRun, origin.Reset, origin.Tear, origin.Stray, origin.Extra, origin.Early,
+	origin.EndlessHeader, origin.EndlessBody, origin.EndlessChunks, origin.EndlessEvent, origin.Trickle,
+}
 
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
--- a/internal/tools/soak/harness.go
+++ b/internal/tools/soak/harness.go
@@ -87,6 +87,7 @@
 		before: map[int]resourceCounts{}, downSince: map[int]clock.Millis{}, keys: []string{"key-0", "key-1"},
 	}
 	hn.record.Revoked = map[string]clock.Millis{}
+	hn.record.PeakMemory = map[int]int64{}
 	hn.manifest = route.Parts{
 		Version:  1,
 		Services: []route.Service{{Name: serviceApp, StatusPath: "/health", MaxConnections: 200}, {Name: serviceEngine, StatusPath: "/health", MaxConnections: 200}},
@@ -256,6 +257,13 @@
 	}
 }
 
+// recordMemory records the resident memory of a host's process if it is the largest yet.
+func (hn *harness) recordMemory(host int, bytes int64) {
+	hn.mu.Lock()
+	defer hn.mu.Unlock()
+	hn.record.PeakMemory[host] = max(hn.record.PeakMemory[host], bytes)
+}
+
 // recordLeaks counts the open resources of each process. Only a process that runs
 // throughout the faults is compared.
 func (hn *harness) recordLeaks(when string) {
--- a/internal/tools/soak/hosts.go
+++ b/internal/tools/soak/hosts.go
@@ -191,10 +191,26 @@
 			h.harness.recordUp(h.number)
 		}
 		h.ready.Store(ready)
+		h.recordMemory()
 		h.harness.pause(ctx, readyPeriod)
 	}
 }
 
+var peakMemory = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// recordMemory records the peak of the current process's resident memory.
+func (h *host) recordMemory() {
+	h.mu.Lock()
+	pid := h.process.Pid
+	h.mu.Unlock()
+	// A process that has just ended has no status to read.
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if m := peakMemory.FindSubmatch(status); m != nil {
+		kilobytes, _ := strconv.ParseInt(string(m[1]), 10, 64) // the expression matches digits only
+		h.harness.recordMemory(h.number, kilobytes<<10)
+	}
+}
+
 // openResources returns the number of descriptors and goroutines of the current
 // process, and which start of the host it is.
 func (h *host) openResources() (start int, counts map[string]int) {
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -134,7 +134,12 @@
 	for _, name := range names {
 		fmt.Fprintf(&b, "  %-8s %d\n", name, outcomes[name])
 	}
-	fmt.Fprintf(&b, "the machine lagged for %d ms of %d\n\n", r.Record.totalLag(), r.Record.End)
+	fmt.Fprintf(&b, "the machine lagged for %d ms of %d\n", r.Record.totalLag(), r.Record.End)
+	largest := int64(0)
+	for _, bytes := range r.Record.PeakMemory {
+		largest = max(largest, bytes)
+	}
+	fmt.Fprintf(&b, "the largest host took %d MB of memory\n\n", largest>>20)
 	b.WriteString(r.plot())
 	for _, f := range r.Plan {
 		fmt.Fprintf(&b, "  %6d ms  %s\n", f.At, f)
