--- a/internal/serve/proxy/buffers.go
+++ b/internal/serve/proxy/buffers.go
@@ -61,7 +61,8 @@
 	}()
 	for {
 		if len(body) == cap(body) {
-			size := max(2*cap(body), firstBufferBytes)
+			// One byte more than the limit shows that the response is too long.
+			size := min(max(2*cap(body), firstBufferBytes), limit+1)
 			if len(body) > limit || !b.grow(held, size) {
 				return body, held, errTooLong
 			}
--- a/internal/share/broker/broker_test.go
+++ b/internal/share/broker/broker_test.go
@@ -220,7 +220,7 @@
 }
 
 // A host that dies or loses its connection asks elsewhere. Its requests must not stay in
-// the queue: once granted, they would hold servers for requests that nobody sends.
+// the queue: once granted, they would hold servers for requests that are never sent.
 func TestRequestsOfLostHostLeaveTheQueue(t *testing.T) {
 	c := qt.New(t)
 	g := newGroup(c, 2, 1)
--- a/internal/share/link/link_test.go
+++ b/internal/share/link/link_test.go
@@ -234,7 +234,8 @@
 	c.Assert(<-connected, qt.Equals, Peer{Name: "b", Incarnation: 2})
 }
 
-// A handler may wait long for its reply, which nobody gets after the connection ended.
+// A handler may wait long before it replies. After its connection has ended the reply
+// cannot be delivered.
 func TestCallEndsWithItsConnection(t *testing.T) {
 	c := qt.New(t)
 	handling, ended := make(chan struct{}), make(chan struct{})
--- a/internal/tools/trace/cause.go
+++ b/internal/tools/trace/cause.go
@@ -31,8 +31,9 @@
 			"Look for the server's own failure at that time",
 	},
 	"BrokenOff": {
-		"Silent": "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
-		"":       "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
+		"Silent":  "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"TooLong": "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"":        "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
 	},
 	"CallerGone": {
 		"": "the caller closed its connection; see first and pause for how long it had waited",
