--- a/internal/tools/soak/hosts.go
+++ b/internal/tools/soak/hosts.go
@@ -201,10 +201,13 @@
 // recordMemory records the peak of the current process's resident memory.
 func (h *host) recordMemory() {
 	h.mu.Lock()
-	pid := h.process.Pid
+	process := h.process
 	h.mu.Unlock()
+	if process == nil {
+		return // not started yet
+	}
 	// A process that has just ended has no status to read.
-	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Pid))
 	if m := peakMemory.FindSubmatch(status); m != nil {
 		kilobytes, _ := strconv.ParseInt(string(m[1]), 10, 64) // the expression matches digits only
 		h.harness.recordMemory(h.number, kilobytes<<10)
