A request gives its buffers back after a panic of its handler too

Read in the diff, not seen: a handler that panics kept the memory that its response had reserved, and other responses had less from then on.

--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -318,8 +318,8 @@
 }
 
 // evaluate estimates the cost of a request on a server: the time until its first
-// event, and the time that repeated prefill takes from other requests.
-// It sets all fields of o, which the caller reuses for all servers.
+// event, and the time that repeated prefill takes from other requests. It sets all
+// fields of o, which the caller reuses for all servers.
 func (c *Core) evaluate(q *queuedRequest, s *server, o *candidate) {
 	o.server, o.startDelay, o.full = s, s.startDelay, false
 	o.uncached, o.segmentPending = s.uncachedAfterPending(q)
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -203,8 +203,8 @@
 	limited, cancel := context.WithTimeout(ctx, (j.deadline - j.arrived).Duration())
 	defer cancel()
 	j.callerCtx = ctx
+	defer func() { p.buffers.release(j.buffered) }()
 	j.run(limited)
-	p.buffers.release(j.buffered)
 }
 
 // The retry delays given with refusals, in milliseconds.
