A prompt that was cut off logs the names of its segments

On-call could not tell which segment the prompts at several crashed servers had in common: the last line of a request named its server and cause, not its segments. TestSegmentsOfBrokenPromptAreLogged fails on the code before.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -32,6 +32,7 @@
 	if j.callerCtx.Err() != nil && !r.served {
 		r.outcome = place.OutcomeCancelled
 	}
+	j.broken = j.broken || r.outcome == place.OutcomeBroken
 	p.mu.Lock()
 	change := p.Placer.Ended(p.Clock.Now(), choice.Server, r.outcome)
 	p.mu.Unlock()
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,10 +50,29 @@
 	forwarder      *proxy.Proxy
 	servers        []*origin.Origin
 	count          *count.Set
+	log            logBuffer
 	manifestAge    atomic.Int64
 	serversUnknown atomic.Bool
 }
 
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 var manifest = route.NewManifest(route.Parts{
 	Version: 3,
 	Routes: []route.Route{
@@ -60,6 +80,7 @@
 		{Name: "booking", Host: "a.example", Prefix: "/booking/", Kind: route.KindUnsafe, TimeLimit: 2_000, Target: 100, MaxServers: 2, Shares: []route.Share{{Service: "app", Weight: 1}}},
 		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: route.KindStream, TimeLimit: 2_000, Target: 100, MaxServers: 1, Shares: []route.Share{{Service: "app", Weight: 1}}},
 		{Name: "resumed", Host: "a.example", Prefix: "/resumed/", Kind: route.KindStream, Resumable: true, TimeLimit: 2_000, Target: 100, MaxServers: 2, Shares: []route.Share{{Service: "app", Weight: 1}}},
+		{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: route.KindStream, Prompts: true, TimeLimit: 2_000, Target: 100, MaxServers: 1, Shares: []route.Share{{Service: "app", Weight: 1}}},
 		{Name: "open", Host: "a.example", Prefix: "/open/", Kind: route.KindSafe, TimeLimit: 2_000, MaxServers: 2, Public: true, Shares: []route.Share{{Service: "app", Weight: 1}}},
 		{Name: "short", Host: "a.example", Prefix: "/short/", Kind: route.KindUnsafe, TimeLimit: 150, MaxServers: 1, Shares: []route.Share{{Service: "app", Weight: 1}}},
 	},
@@ -78,7 +99,7 @@
 		r.servers = append(r.servers, o)
 		list = append(list, fleet.Server{ID: o.ID, Service: "app", Address: o.ListenAddress()})
 	}
-	l := logs.Limit(logs.Discard(), clock.System(), nil)
+	l := logs.Limit(logs.NewPlain(&r.log, logs.LevelInfo), clock.System(), count.NewSet())
 	r.forwarder = &proxy.Proxy{
 		Fields: fields,
 		Clock:  clock.System(),
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -41,8 +41,10 @@
 	// sends is the number of attempts of which the server may have received some
 	// bytes.
 	sends int
-	// mayHaveRun is set once a server may have begun to run the request.
+	// mayHaveRun is set once a server may have begun to run the request, broken once a
+	// connection ended before the answer did.
 	mayHaveRun bool
+	broken     bool
 	// buffered is the number of bytes reserved for responses that were read whole.
 	buffered int
 	// serverError is a server's error response, which the caller gets if no further
@@ -276,9 +278,25 @@
 	if j.longestPause > 0 {
 		fields = append(fields, "pause", j.longestPause)
 	}
+	if j.broken && len(j.place.Segments) > 0 {
+		fields = append(fields, "segments", prefixNames(j.place.Segments))
+	}
 	j.proxy.Log.Info("Request ended.", fields...)
 }
 
+// maxLoggedSegments is the maximum number of segments in a log line.
+const maxLoggedSegments = 8
+
+// prefixNames returns the names of the prefix segments of a prompt, separated by commas.
+func prefixNames(segments []place.Segment) string {
+	prefix := place.PrefixSegments(segments)
+	names := make([]string, 0, maxLoggedSegments)
+	for _, s := range prefix[:min(len(prefix), maxLoggedSegments)] {
+		names = append(names, s.Name)
+	}
+	return strings.Join(names, ",")
+}
+
 // maxLogFields is the maximum number of keys and values in that log line.
 const maxLogFields = 50
 
