--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -70,6 +70,8 @@
 	// that does not end. Trickle sends a stream without any event, a byte at a time.
 	EndlessEvent Behavior = "EndlessEvent"
 	Trickle      Behavior = "Trickle"
+	// Crash ends the whole server inside its first event. SetCrashSegment causes it.
+	Crash Behavior = "Crash"
 )
 
 // Events is the number of events in a complete stream.
@@ -91,8 +93,12 @@
 	// OnRequest, if set, is called for each request with whether it runs. It is called
 	// with a lock held and must not call Origin's methods.
 	OnRequest func(r *http.Request, runs bool)
+	// OnCrash, if set, is called when the server has crashed. It must not call Stop.
+	OnCrash func()
 
 	listener        net.Listener
+	crashOnce       sync.Once
+	crashSegment    string
 	mu              sync.Mutex
 	queue           []Behavior
 	defaultBehavior Behavior
@@ -161,6 +167,40 @@
 	o.defaultBehavior = b
 }
 
+// SetCrashSegment sets the name of a prompt segment. The server crashes when it begins to
+// answer a prompt with that segment before the last one.
+func (o *Origin) SetCrashSegment(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashSegment = name
+}
+
+// crashesOn reports whether the prompt of a request has the crash segment before its last
+// one. The caller holds the lock.
+func (o *Origin) crashesOn(r *http.Request) bool {
+	return o.crashSegment != "" && o.Fields.PromptSegments != "" &&
+		strings.Contains(","+r.Header.Get(o.Fields.PromptSegments), ","+o.crashSegment+":") &&
+		!strings.HasPrefix(lastEntry(r.Header.Get(o.Fields.PromptSegments)), o.crashSegment+":")
+}
+
+func lastEntry(list string) string { return list[strings.LastIndex(list, ",")+1:] }
+
+// crash closes the listener and resets all connections.
+func (o *Origin) crash() {
+	o.crashOnce.Do(func() {
+		_ = o.listener.Close() // the listener is not used again either way
+		o.mu.Lock()
+		for c := range o.open {
+			reset(c)
+			_ = c.Close()
+		}
+		o.mu.Unlock()
+		if o.OnCrash != nil {
+			o.OnCrash()
+		}
+	})
+}
+
 // Runs returns how often the request with this id ran.
 func (o *Origin) Runs(id string) int {
 	o.mu.Lock()
@@ -248,6 +288,9 @@
 			behavior = b
 		}
 	}
+	if o.crashesOn(r) {
+		behavior = Crash
+	}
 	if want := r.Header.Get(o.Fields.Server); want != "" && want != o.ID {
 		behavior = Moved
 	}
@@ -275,6 +318,9 @@
 		return o.writePlain(c, 500, id, "failed", "")
 	case NotRun:
 		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n")
+	case Crash:
+		o.writeCrash(c, id)
+		return false
 	case Moved:
 		return o.writePlain(c, 421, id, "moved", "")
 	case Reset:
@@ -392,6 +438,19 @@
 	return err == nil
 }
 
+// crashDelay is the time from the begin of an answer to the crash.
+const crashDelay = 20 * time.Millisecond
+
+// writeCrash begins an answer, without a length or chunks, and crashes inside its first
+// event.
+func (o *Origin) writeCrash(c net.Conn, id string) {
+	event := Event(1)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n%s",
+		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, event[:len(event)/2])
+	time.Sleep(crashDelay)
+	o.crash()
+}
+
 // Event returns the text of the event with number n, counted from 1.
 func Event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,10 +46,13 @@
 
 // harness is a host in front of stand-in backend servers whose behaviour the test sets.
 type harness struct {
-	c              *qt.C
-	httpServer     *httpd.Server
-	forwarder      *proxy.Proxy
+	c          *qt.C
+	httpServer *httpd.Server
+	forwarder  *proxy.Proxy
+	// mu guards servers and list, which addServer and removeServer change.
+	mu             sync.Mutex
 	servers        []*origin.Origin
+	list           []fleet.Server
 	count          *count.Set
 	log            logBuffer
 	manifestAge    atomic.Int64
@@ -91,20 +95,15 @@
 
 func newHarness(c *qt.C, servers int, stream bool) *harness {
 	r := &harness{c: c, count: count.NewSet()}
-	var list []fleet.Server
-	for i := range servers {
-		o := &origin.Origin{ID: fmt.Sprintf("i-%d", i), Fields: fields, Stream: stream}
-		c.Assert(o.Start(), qt.IsNil)
-		c.Cleanup(o.Stop)
-		r.servers = append(r.servers, o)
-		list = append(list, fleet.Server{ID: o.ID, Service: "app", Address: o.ListenAddress()})
+	for range servers {
+		r.addServer(&origin.Origin{Stream: stream})
 	}
 	l := logs.Limit(logs.NewPlain(&r.log, logs.LevelInfo), clock.System(), count.NewSet())
 	r.forwarder = &proxy.Proxy{
 		Fields: fields,
 		Clock:  clock.System(),
 		View: func() watch.View {
-			return watch.View{Manifest: manifest, Servers: list, ServersKnown: !r.serversUnknown.Load()}
+			return watch.View{Manifest: manifest, Servers: r.serverList(), ServersKnown: !r.serversUnknown.Load()}
 		},
 		Age:    func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
 		Client: &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000},
@@ -115,7 +114,7 @@
 	}
 	r.forwarder.Apply(proxy.Limits{MaxKeyAge: 4_000, RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10_000})
 	r.forwarder.Prepare()
-	r.forwarder.SetServers(list)
+	r.forwarder.SetServers(r.serverList())
 	r.httpServer = &httpd.Server{
 		Address: "127.0.0.1:0",
 		Clock:   clock.System(),
@@ -129,6 +128,30 @@
 	return r
 }
 
+// addServer starts a server and adds it to the list.
+func (r *harness) addServer(o *origin.Origin) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.ID, o.Fields = fmt.Sprintf("i-%d", len(r.servers)), fields
+	r.c.Assert(o.Start(), qt.IsNil)
+	r.c.Cleanup(o.Stop)
+	r.servers = append(r.servers, o)
+	r.list = append(slices.Clone(r.list), fleet.Server{ID: o.ID, Service: "app", Address: o.ListenAddress()})
+}
+
+// removeServer removes a server from the list.
+func (r *harness) removeServer(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = slices.DeleteFunc(slices.Clone(r.list), func(s fleet.Server) bool { return s.ID == id })
+}
+
+func (r *harness) serverList() []fleet.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list
+}
+
 // runs returns how often a request ran on all servers together.
 func (r *harness) runs(id string) int {
 	n := 0
--- a/internal/serve/proxy/prompts_test.go
+++ b/internal/serve/proxy/prompts_test.go
@@ -1,7 +1,12 @@
 package proxy_test
 
 import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -17,3 +22,68 @@
 	r.send("POST", "/chat/x", "served", prompt)
 	c.Assert(r.log.String(), qt.Not(qt.Matches), `(?s).*id=served [^\n]*segments=.*`)
 }
+
+// addCrashing starts a server that crashes on the segment "poison" and is back under
+// another ID after a while.
+func (r *harness) addCrashing(crashes *atomic.Int64, restarts *sync.WaitGroup, down time.Duration) {
+	o := &origin.Origin{Stream: true}
+	o.OnCrash = func() {
+		crashes.Add(1)
+		restarts.Go(func() {
+			r.removeServer(o.ID)
+			r.forwarder.SetServers(r.serverList())
+			time.Sleep(down)
+			r.addCrashing(crashes, restarts, down)
+			r.forwarder.SetServers(r.serverList())
+		})
+	}
+	o.SetCrashSegment("poison")
+	r.addServer(o)
+}
+
+// Prompts with the segment arrive all the time, no two alike, among sound ones that share
+// their first segment.
+func TestPoisonedSegmentCrashesFewServers(t *testing.T) {
+	const (
+		servers  = 24
+		senders  = 4
+		length   = 4 * time.Second
+		interval = 25 * time.Millisecond
+		down     = 300 * time.Millisecond
+		// The users allow three more requests after the fifth crash.
+		maxCrashes = 8
+	)
+	c, r := start(t, 0, true)
+	var crashes atomic.Int64
+	var restarts sync.WaitGroup
+	for range servers {
+		r.addCrashing(&crashes, &restarts, down)
+	}
+	r.forwarder.SetServers(r.serverList())
+	var mu sync.Mutex
+	var sound []bool
+	var all sync.WaitGroup
+	began := time.Now()
+	for n := range senders {
+		all.Go(func() {
+			for i := 0; time.Since(began) < length; i++ {
+				id := fmt.Sprintf("p-%d-%d", n, i)
+				if n == 0 {
+					r.send("POST", "/chat/x", id, fmt.Sprintf("%s: shared:350,poison:140,own-%s:900\r\n", fields.PromptSegments, id))
+				} else {
+					got := r.send("POST", "/chat/x", id, fmt.Sprintf("%s: shared:350,topic-%d:140,own-%s:900\r\n", fields.PromptSegments, i%9, id))
+					mu.Lock()
+					sound = append(sound, got.status == 200 && got.whole && got.body == origin.FullStream())
+					mu.Unlock()
+				}
+				time.Sleep(interval)
+			}
+		})
+	}
+	all.Wait()
+	restarts.Wait()
+	c.Check(crashes.Load() >= 3, qt.IsTrue)
+	c.Check(crashes.Load() <= maxCrashes, qt.IsTrue, qt.Commentf("%d crashes", crashes.Load()))
+	late := sound[len(sound)/2:]
+	c.Check(slices.Contains(late, false), qt.IsFalse, qt.Commentf("sound prompts not served in the second half"))
+}
