A stream that ends inside an event is not forwarded as complete

Callers got a stream with its final chunk though its server had crashed: a response without a length ends with its connection, so the end of the connection inside an event, or before the first one, looked like the end of the stream.

The host judged the end by the framing alone and forwarded the rest of the last event. Now a stream that ends inside an event has broken off, whatever its framing, as has one that ends with its connection before any event: it is resumed where that is allowed, else closed without its end. It also counts as a break for the quarantine of segments; before, such a crash cleared them.

TestStreamEndingInsideEventIsNotForwardedAsComplete fails on the code before in its cases HalfEvent and HalfEventChunks at least (whole responses that end at "data").

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -70,6 +70,12 @@
 	// that does not end. Trickle sends a stream without any event, a byte at a time.
 	EndlessEvent Behavior = "EndlessEvent"
 	Trickle      Behavior = "Trickle"
+	// HalfEvent and HalfEventChunks end a stream inside its last event as if it were
+	// complete: with the connection, or with a last chunk. NoEvent ends it with the
+	// connection before its first event.
+	HalfEvent       Behavior = "HalfEvent"
+	HalfEventChunks Behavior = "HalfEventChunks"
+	NoEvent         Behavior = "NoEvent"
 	// Crash ends the whole server inside its first event. SetCrashSegment causes it.
 	Crash Behavior = "Crash"
 )
@@ -321,6 +327,8 @@
 	case Crash:
 		o.writeCrash(c, id)
 		return false
+	case HalfEvent, HalfEventChunks, NoEvent:
+		return o.writeHalf(c, id, behavior)
 	case Moved:
 		return o.writePlain(c, 421, id, "moved", "")
 	case Reset:
@@ -438,6 +446,23 @@
 	return err == nil
 }
 
+// writeHalf writes a stream that ends inside an event, or before any.
+func (o *Origin) writeHalf(c net.Conn, id string, behavior Behavior) bool {
+	at := strings.Index(FullStream(), Event(Events/2))
+	text := FullStream()[:at+len(Event(Events/2))/2]
+	switch behavior {
+	case NoEvent:
+		text = "\r\n"
+	case HalfEvent:
+		text = "\r\n" + text
+	default:
+		text = chunkedBody + chunk(text) + "0\r\n\r\n"
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s",
+		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, text)
+	return err == nil && behavior == HalfEventChunks
+}
+
 // crashDelay is the time from the begin of an answer to the crash.
 const crashDelay = 20 * time.Millisecond
 
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -83,8 +83,7 @@
 
 // forwardStream forwards the events of a response as they arrive. Of a
 // stream that breaks off it forwards only complete events, so that the stream can be
-// resumed at another server. The rest of a stream that the server ended is forwarded
-// as it is. The first event is due at firstEventBy: bytes that complete no event are
+// resumed at another server. The first event is due at firstEventBy: bytes that complete no event are
 // no answer, however steadily they arrive.
 func (j *job) forwardStream(response wire.Response, firstEventBy clock.Millis) result {
 	c := eventBuffers.Get().(*eventBuffer)
@@ -145,8 +144,14 @@
 	j.writer.Begin(response.Status, forwardedHeaders(response.Headers), events)
 }
 
-// endStream ends the caller's response after the server completed its own.
+// endStream ends the caller's response after the server ended its own. A stream that ends
+// inside an event is incomplete, whatever its framing says, and so is one that ends with
+// its connection before the first event.
 func (j *job) endStream(response wire.Response, c *eventBuffer) result {
+	inEvent := len(bytes.TrimSpace(c.buffer)) > 0
+	if inEvent || (!j.headerSent && response.Length == wire.LengthToClose) {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
+	}
 	if !j.headerSent {
 		j.headerSent = true
 		j.firstByteAt = j.proxy.Clock.Now()
--- a/internal/serve/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -65,3 +65,20 @@
 	got := r.send("POST", "/resumed/", "s1", "Content-Length: 0\r\nLast-Event-Id: 5\r\n")
 	c.Assert(got.body, qt.Equals, origin.Event(6)+origin.Event(7)+origin.Event(8))
 }
+
+func TestStreamEndingInsideEventIsNotForwardedAsComplete(t *testing.T) {
+	for _, behavior := range []origin.Behavior{origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent} {
+		t.Run(string(behavior), func(t *testing.T) {
+			c, r := start(t, 2, true)
+			setActs(r, []origin.Behavior{behavior, origin.Answer})
+			got := r.send("POST", "/once/", "s1", "Content-Length: 0\r\n")
+			c.Check(got.status == 200 && got.whole, qt.IsFalse)
+			c.Check(r.runs("s1"), qt.Equals, 1)
+			setActs(r, []origin.Behavior{behavior, origin.Answer})
+			got = r.send("POST", "/resumed/", "s2", "Content-Length: 0\r\n")
+			c.Check(got.whole, qt.IsTrue)
+			c.Check(got.body, qt.Equals, origin.FullStream())
+			c.Check(r.runs("s2"), qt.Equals, 2)
+		})
+	}
+}
