The soak crashes engines by prompts and all at once, and cuts failure domains

Each run sends prompts with a segment that crashes each engine that begins to answer, to random hosts, until it ends.

--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -41,6 +41,7 @@
 	f.IntVar(&seeds, "seeds", 1, "number of consecutive seeds to run")
 	f.IntVar(&o.Hosts, "hosts", 6, "processes")
 	f.IntVar(&o.Callers, "callers", 16, "callers")
+	f.IntVar(&o.Engines, "engines", 6, "engines, at least 6; more than 64 have several keepers")
 	f.Int64Var(&seconds, "seconds", 20, "duration of the faults in seconds")
 	f.IntVar(&o.Network, "network", 1, "third byte of the hosts' addresses 127.0.NETWORK.x; concurrent runs need different ones")
 	f.StringVar(&o.Program, "program", "bin/siskinsaddle", "path of the siskinsaddle binary")
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -76,8 +77,8 @@
 	HalfEvent       Behavior = "HalfEvent"
 	HalfEventChunks Behavior = "HalfEventChunks"
 	NoEvent         Behavior = "NoEvent"
-	// Crash ends the whole server inside its first event. SetCrashSegment causes it.
-	Crash Behavior = "Crash"
+	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
+	crashAtSegment Behavior = "CrashAtSegment"
 )
 
 // Events is the number of events in a complete stream.
@@ -99,12 +100,13 @@
 	// OnRequest, if set, is called for each request with whether it runs. It is called
 	// with a lock held and must not call Origin's methods.
 	OnRequest func(r *http.Request, runs bool)
-	// OnCrash, if set, is called when the server has crashed. It must not call Stop.
-	OnCrash func()
+	// OnCrash, if set, is called when the server has crashed, with the prompt segment that
+	// crashed it, "" after Crash. It must not call Stop.
+	OnCrash func(segment string)
 
 	listener        net.Listener
 	crashOnce       sync.Once
-	crashSegment    string
+	crashSegments   []string
 	mu              sync.Mutex
 	queue           []Behavior
 	defaultBehavior Behavior
@@ -173,26 +175,34 @@
 	o.defaultBehavior = b
 }
 
-// SetCrashSegment sets the name of a prompt segment. The server crashes when it begins to
-// answer a prompt with that segment before the last one.
-func (o *Origin) SetCrashSegment(name string) {
+// SetCrashSegments sets the names of prompt segments. The server crashes when it begins to
+// answer a prompt with one of them before its last segment.
+func (o *Origin) SetCrashSegments(names ...string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.crashSegment = name
+	o.crashSegments = names
 }
 
-// crashesOn reports whether the prompt of a request has the crash segment before its last
-// one. The caller holds the lock.
-func (o *Origin) crashesOn(r *http.Request) bool {
-	return o.crashSegment != "" && o.Fields.PromptSegments != "" &&
-		strings.Contains(","+r.Header.Get(o.Fields.PromptSegments), ","+o.crashSegment+":") &&
-		!strings.HasPrefix(lastEntry(r.Header.Get(o.Fields.PromptSegments)), o.crashSegment+":")
+// crashSegment returns the segment of a request's prompt at which the server crashes, or
+// "". The caller holds the lock.
+func (o *Origin) crashSegment(r *http.Request) string {
+	if len(o.crashSegments) == 0 {
+		return ""
+	}
+	segments := strings.Split(r.Header.Get(o.Fields.PromptSegments), ",")
+	for _, s := range segments[:len(segments)-1] {
+		name, _, _ := strings.Cut(s, ":")
+		if slices.Contains(o.crashSegments, name) {
+			return name
+		}
+	}
+	return ""
 }
 
-func lastEntry(list string) string { return list[strings.LastIndex(list, ",")+1:] }
+// Crash closes the listener and resets all connections.
+func (o *Origin) Crash() { o.crash("") }
 
-// crash closes the listener and resets all connections.
-func (o *Origin) crash() {
+func (o *Origin) crash(segment string) {
 	o.crashOnce.Do(func() {
 		_ = o.listener.Close() // the listener is not used again either way
 		o.mu.Lock()
@@ -202,7 +212,7 @@
 		}
 		o.mu.Unlock()
 		if o.OnCrash != nil {
-			o.OnCrash()
+			o.OnCrash(segment)
 		}
 	})
 }
@@ -294,8 +304,8 @@
 			behavior = b
 		}
 	}
-	if o.crashesOn(r) {
-		behavior = Crash
+	if o.crashSegment(r) != "" {
+		behavior = crashAtSegment
 	}
 	if want := r.Header.Get(o.Fields.Server); want != "" && want != o.ID {
 		behavior = Moved
@@ -324,8 +334,8 @@
 		return o.writePlain(c, 500, id, "failed", "")
 	case NotRun:
 		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n")
-	case Crash:
-		o.writeCrash(c, id)
+	case crashAtSegment:
+		o.writeCrash(c, r)
 		return false
 	case HalfEvent, HalfEventChunks, NoEvent:
 		return o.writeHalf(c, id, behavior)
@@ -468,12 +478,15 @@
 
 // writeCrash begins an answer, without a length or chunks, and crashes inside its first
 // event.
-func (o *Origin) writeCrash(c net.Conn, id string) {
+func (o *Origin) writeCrash(c net.Conn, r *http.Request) {
 	event := Event(1)
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n%s",
-		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, event[:len(event)/2])
+		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, event[:len(event)/2])
 	time.Sleep(crashDelay)
-	o.crash()
+	o.mu.Lock()
+	segment := o.crashSegment(r)
+	o.mu.Unlock()
+	o.crash(segment)
 }
 
 // Event returns the text of the event with number n, counted from 1.
--- a/internal/serve/proxy/prompts_test.go
+++ b/internal/serve/proxy/prompts_test.go
@@ -41,7 +41,7 @@
 // another ID after a while.
 func (r *harness) addCrashing(crashes *atomic.Int64, restarts *sync.WaitGroup, down time.Duration) {
 	o := &origin.Origin{Stream: true}
-	o.OnCrash = func() {
+	o.OnCrash = func(string) {
 		crashes.Add(1)
 		restarts.Go(func() {
 			r.removeServer(o.ID)
@@ -51,7 +51,7 @@
 			r.forwarder.SetServers(r.serverList())
 		})
 	}
-	o.SetCrashSegment("poison")
+	o.SetCrashSegments("poison")
 	r.addServer(o)
 }
 
--- a/internal/tools/soak/callers.go
+++ b/internal/tools/soak/callers.go
@@ -24,6 +24,11 @@
 	revokedKeyShare = 0.1
 	// maxThinkTime is the maximum pause of a caller between requests, in milliseconds.
 	maxThinkTime = 60
+	// firstSegments and topicSegments are the numbers of different first and second
+	// segments of prompts, segmentTokens the length of each.
+	firstSegments = 3
+	topicSegments = 12
+	segmentTokens = 200
 	// requestsPerConnection is how many requests a caller sends on a connection before
 	// it opens another one.
 	requestsPerConnection = 40
@@ -38,6 +43,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// poison is the segment of the caller's prompts that crashes engines, "" for none.
+	poison string
 }
 
 // runCaller sends requests until the context ends and records each of them.
@@ -96,6 +103,12 @@
 		ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: r.Kind, Host: c.host.number,
 		Key: c.harness.pickKey(c.random), At: c.harness.now(),
 	}
+	if r.Prompts {
+		s.Segments = []string{fmt.Sprint("first-", c.random.IntN(firstSegments)), fmt.Sprint("topic-", c.random.IntN(topicSegments))}
+		if c.poison != "" {
+			s.Segments[1] = c.poison
+		}
+	}
 	if err := c.send(r, s); err != nil {
 		s.Unsent = true
 		c.closeConn()
@@ -119,11 +132,23 @@
 	}
 	names := platform.Headers
 	body := "for " + s.ID
-	_, err := fmt.Fprintf(c.conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		r.Prefix, callerHost, names.RequestID, s.ID, names.Key, s.Key, names.Timeout, timeLimit, len(body), body)
+	_, err := fmt.Fprintf(c.conn, "POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		r.Prefix, callerHost, names.RequestID, s.ID, names.Key, s.Key, names.Timeout, timeLimit, promptFields(s), len(body), body)
 	return err
 }
 
+// promptFields returns the header lines that describe the prompt of a request.
+func promptFields(s Request) string {
+	if len(s.Segments) == 0 {
+		return ""
+	}
+	text := platform.Headers.PromptSegments + ": "
+	for _, name := range s.Segments {
+		text += fmt.Sprintf("%s:%d,", name, segmentTokens)
+	}
+	return text + fmt.Sprintf("own-%s:%d\r\n%s: %d,20\r\n", s.ID, segmentTokens, platform.Headers.TokenCounts, segmentTokens*(len(s.Segments)+1))
+}
+
 func (c *caller) read(s *Request) {
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -7,6 +7,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/route"
+	"siskinsaddle/internal/serve/refuse"
 )
 
 // Request is one request as its caller saw it. Times are in milliseconds since the
@@ -22,6 +23,8 @@
 	// the request could not be written completely.
 	Status int
 	Unsent bool
+	// Segments are the prefix segments of a prompt.
+	Segments []string
 	// Whole is set if the response was complete by its framing.
 	Whole    bool
 	Body     string
@@ -37,6 +40,11 @@
 	outcomeUnsent      = "Unsent"
 )
 
+// isQuarantined reports whether the request was refused for a segment of its prompt.
+func isQuarantined(s Request) bool {
+	return s.Status == 503 && strings.Contains(s.Body, `"`+string(refuse.ReasonQuarantined)+`"`)
+}
+
 func (s Request) outcome() string {
 	switch {
 	case s.Unsent:
@@ -97,6 +105,7 @@
 	// Revoked maps a revoked key to when the store accepted the revocation.
 	Revoked    map[string]clock.Millis
 	Departures []Departure
+	Crashes    []Crash
 	Versions   []Versions
 	Leaks      []Leak
 	// PeakMemory maps a host to the peak of its process's resident memory, in bytes.
@@ -152,6 +161,9 @@
 	{"HostsComeBack", hostsComeBack},
 	{"NothingLeaks", nothingLeaks},
 	{"MemoryIsBounded", memoryIsBounded},
+	{"PoisonedPromptsStop", poisonedPromptsStop},
+	{"SoundPromptsAreNotRefused", soundPromptsAreNotRefused},
+	{"SoundPromptsGoOn", soundPromptsGoOn},
 }
 
 func invariants() []string {
@@ -301,8 +313,8 @@
 	return found
 }
 
-// stopsBreakNothing finds requests that a planned stop cut off without another fault
-// at that time. A request that did not run may be cut off: it was sent while the host
+// stopsBreakNothing finds requests that a planned stop cut off without another fault, or the
+// crash of a server, at that time. A request that did not run may be cut off: it was sent while the host
 // closed the connection, and the caller can retry it.
 func stopsBreakNothing(r Record) []string {
 	var found []string
@@ -313,7 +325,7 @@
 		}
 		for _, s := range r.Requests {
 			during := s.Host == f.Host && s.Ended > f.From && s.At < f.From+boundStop
-			if during && s.outcome() == outcomeIncomplete && runs[s.ID] > 0 && !r.overlapsFault(s.Host, s.At-boundContact, s.Ended, false) {
+			if during && s.outcome() == outcomeIncomplete && runs[s.ID] > 0 && !r.overlapsCrash(s.At-boundContact, s.Ended+boundContact) && !r.overlapsFault(s.Host, s.At-boundContact, s.Ended, false) {
 				found = append(found, fmt.Sprintf("%s was cut off by the stop of host %d, %d ms after the stop began", s.ID, s.Host, s.Ended-f.From))
 			}
 		}
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/route"
+	"siskinsaddle/internal/serve/refuse"
 )
 
 // validRecord returns a record that violates no invariant and is close to the bounds.
@@ -33,10 +35,29 @@
 	r.add(Request{ID: "refused-key", Key: "old", At: 15_100, Ended: 15_200, Status: 401, Whole: true}, 0)
 	r.add(Request{ID: "paused", Host: 1, At: 12_500, Ended: 12_600, Status: 502, Whole: true}, 0)
 	r.Arrivals = append(r.Arrivals, Arrival{ID: "paused", Server: "i-1", At: 12_550, Runs: true})
+	r.addPoison(crashLimit-1, allowedAfterLimit)
 	r.add(Request{ID: "crossed", Host: 0, At: 30_500, Ended: 30_600}, 0)
 	return r
 }
 
+// addPoison records crashes by a segment, with prompts that come late after the last one, and
+// sound prompts that are served before and after.
+func (r *Record) addPoison(crashes, late int) {
+	for i := range crashes {
+		at := 40_000 + clock.Millis(i)*500
+		r.Crashes = append(r.Crashes, Crash{Server: fmt.Sprint("i-", i), Segment: "poison", At: at})
+		r.add(Request{ID: fmt.Sprint("poison", i), Kind: route.KindStream, Segments: []string{"first", "poison"}, At: at, Status: 502, Whole: true}, 1)
+	}
+	for i := range late {
+		r.add(Request{ID: fmt.Sprint("late-poison", i), Kind: route.KindStream, Segments: []string{"first", "poison"}, At: 40_000 + clock.Millis(crashes-1)*500 + boundContact + 1, Status: 502, Whole: true}, 1)
+	}
+	for i := range minSample {
+		for _, at := range []clock.Millis{5_000, 55_000} {
+			r.add(Request{ID: fmt.Sprint("sound", i, "-", at), Kind: route.KindStream, Segments: []string{"first"}, At: at, Status: 200, Whole: true, Body: wholeStream, AnswerID: fmt.Sprint("sound", i, "-", at)}, 1)
+		}
+	}
+}
+
 // add records a request that ran a number of times.
 func (r *Record) add(s Request, runs int) {
 	r.Requests = append(r.Requests, s)
@@ -82,6 +103,17 @@
 		"NothingLeaks": func(r *Record) {
 			r.Leaks = append(r.Leaks, Leak{Host: 1, Resource: "goroutines", Before: 50, After: 50 + maxResourceGrowth + 1})
 		},
+		"PoisonedPromptsStop": func(r *Record) {
+			r.addPoison(crashLimit, allowedAfterLimit+1)
+		},
+		"SoundPromptsAreNotRefused": func(r *Record) {
+			r.add(Request{ID: "sound", Kind: route.KindStream, Segments: []string{"first"}, At: 41_000, Status: 503, Whole: true, Body: string(refuse.New(refuse.ReasonQuarantined).Body())}, 0)
+		},
+		"SoundPromptsGoOn": func(r *Record) {
+			for i := range minSample + 1 {
+				r.add(Request{ID: fmt.Sprint("starved", i), Kind: route.KindStream, Segments: []string{"first"}, At: 55_000, Status: 502, Whole: true}, 1)
+			}
+		},
 		"MemoryIsBounded": func(r *Record) { r.PeakMemory[1] = hostMemoryBytes + 1 },
 	}
 	for _, invariant := range invariants() {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -112,7 +112,10 @@
 			hn.changeManifest()
 			return nil
 		},
-		KindRevoke: replaceOldestKey,
+		KindRevoke:       replaceOldestKey,
+		KindDomainCut:    cutDomain,
+		KindServersCrash: crashServers,
+		KindPoison:       startPoison,
 	}
 }
 
@@ -181,11 +184,18 @@
 	origin.EndlessHeader, origin.EndlessBody, origin.EndlessChunks, origin.EndlessEvent, origin.Trickle,
 }
 
+// faultyStreams are the ways in which only an engine misbehaves.
+var faultyStreams = []origin.Behavior{origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent}
+
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
 	random := rand.New(rand.NewPCG(hn.options.Seed, uint64(f.At)))
+	acts := slices.Clone(faultyActs)
+	if s.Stream {
+		acts = append(acts, faultyStreams...)
+	}
 	s.SetScript(func() (origin.Behavior, bool) {
-		return faultyActs[random.IntN(len(faultyActs))], random.Float64() < faultyShare
+		return acts[random.IntN(len(acts))], random.Float64() < faultyShare
 	})
 	return func() { s.SetScript(func() (origin.Behavior, bool) { return origin.Answer, false }) }
 }
--- a/internal/tools/soak/harness.go
+++ b/internal/tools/soak/harness.go
@@ -41,6 +41,13 @@
 	revokedKeys []string
 	before      map[int]resourceCounts
 	downSince   map[int]clock.Millis
+	// links are the relays to each host for the hosts of each failure domain.
+	links map[linkKey]*midbox.Proxy
+	// poisons are the segments that crash engines, crashed the servers that have.
+	poisons []string
+	crashed []*server
+	// sendPoison sends the prompts of a poison until the callers stop.
+	sendPoison func(segment string)
 }
 
 // server is one backend server behind a relay.
@@ -65,7 +72,7 @@
 	serviceApp    = "app"
 	serviceEngine = "engine"
 	appServers    = 2
-	engineServers = 3
+	engineServers = 6
 	engineSlots   = 64
 	callerHost    = "soak.example"
 )
@@ -74,6 +81,7 @@
 var routes = []route.Route{
 	{Name: "book", Prefix: "/book/", Kind: route.KindUnsafe, Target: 300, Tier: 2, MaxServers: 1, Shares: []route.Share{{Service: serviceApp, Weight: 1}}},
 	{Name: "look-up", Prefix: "/look/", Kind: route.KindSafe, Target: 300, Tier: 2, MaxServers: 2, Shares: []route.Share{{Service: serviceApp, Weight: 1}}},
+	{Name: "chat", Prefix: "/chat/", Kind: route.KindStream, Prompts: true, Target: 500, PauseTarget: 500, MaxServers: 1, Shares: []route.Share{{Service: serviceEngine, Weight: 1}}},
 	{Name: "ask", Prefix: "/ask/", Kind: route.KindStream, Resumable: true, Target: 500, PauseTarget: 500, MaxServers: 2, Shares: []route.Share{{Service: serviceEngine, Weight: 1}}},
 }
 
@@ -84,7 +92,7 @@
 func newHarness(o Options, clk clock.Clock) (*harness, error) {
 	hn := &harness{
 		options: o, clock: clk, begin: clk.Now(), store: memdb.New(clk),
-		before: map[int]resourceCounts{}, downSince: map[int]clock.Millis{}, keys: []string{"key-0", "key-1"},
+		before: map[int]resourceCounts{}, downSince: map[int]clock.Millis{}, links: map[linkKey]*midbox.Proxy{}, keys: []string{"key-0", "key-1"},
 	}
 	hn.record.Revoked = map[string]clock.Millis{}
 	hn.record.PeakMemory = map[int]int64{}
@@ -104,7 +112,7 @@
 			return nil, err
 		}
 	}
-	for range engineServers {
+	for range max(o.Engines, engineServers) {
 		if err := hn.addServer(serviceEngine); err != nil {
 			return nil, err
 		}
@@ -160,6 +168,8 @@
 	s.Origin = &origin.Origin{ID: id, Fields: platform.Headers, Stream: service == serviceEngine, OnRequest: func(r *http.Request, runs bool) {
 		hn.recordArrival(id, r, runs)
 	}}
+	s.OnCrash = func(segment string) { hn.serverCrashed(s, segment) }
+	s.SetCrashSegments(hn.poisons...)
 	if err := s.Start(); err != nil {
 		return err
 	}
@@ -229,7 +239,7 @@
 	if hn.cancel != nil {
 		hn.stopHosts(context.Background())
 	}
-	for _, s := range hn.servers {
+	for _, s := range append(hn.servers, hn.crashed...) {
 		s.relay.Close()
 		s.Stop()
 	}
--- a/internal/tools/soak/hosts.go
+++ b/internal/tools/soak/hosts.go
@@ -64,7 +64,7 @@
 		return nil, errors.Wrap(err, "listen for the store")
 	}
 	hn.closers = append(hn.closers, func() { _ = l.Close() })
-	server := &fasthttp.Server{Handler: platform.ServeStore(hn.store.For(name))}
+	server := &fasthttp.Server{Handler: platform.ServeStore(hn.withLinks(hn.store.For(name), domain))}
 	go func() { _ = server.Serve(l) }() // ends with the listener
 	relay, err := midbox.New(l.Addr().String())
 	if err != nil {
@@ -76,6 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := hn.addLinks(name, fmt.Sprintf("%s:%d", ip, ports[2])); err != nil {
+		return nil, err
+	}
 	h := &host{harness: hn, number: number, storeRelay: relay, file: filepath.Join(hn.options.Folder, name+".json")}
 	h.settings = platform.Settings{
 		HostName: name, FailureDomain: domain, IP: ip,
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -13,6 +13,9 @@
 
 // The kinds of faults. Target is the number of the host or of the server. StoreDeaf has
 // watches receive no events; TurnedAway has the store reject the calls of one host.
+// DomainCut cuts the hosts of the target's failure domain off from all others and from the
+// store. ServersCrash crashes half of the engines at once. Poison sends prompts that crash
+// engines until the end of the run.
 const (
 	KindStop               Kind = "Stop"
 	KindKill               Kind = "Kill"
@@ -34,6 +37,9 @@
 	KindServerLeaves       Kind = "ServerLeaves"
 	KindManifest           Kind = "Manifest"
 	KindRevoke             Kind = "Revoke"
+	KindDomainCut          Kind = "DomainCut"
+	KindServersCrash       Kind = "ServersCrash"
+	KindPoison             Kind = "Poison"
 )
 
 // planned reports whether the kind is a planned operation, which must break nothing.
@@ -48,7 +54,7 @@
 // affectsOneHost reports whether the kind affects only its target host.
 func (k Kind) affectsOneHost() bool {
 	switch k {
-	case KindStop, KindKill, KindPause, KindHangup, KindStoreRejectsHost, KindStoreReset, KindStoreSilent, KindStoreOneWay:
+	case KindStop, KindKill, KindPause, KindHangup, KindStoreRejectsHost, KindStoreReset, KindStoreSilent, KindStoreOneWay, KindDomainCut:
 		return true
 	}
 	return false
@@ -79,6 +85,9 @@
 	{KindServerLeaves, 4},
 	{KindManifest, 4},
 	{KindRevoke, 3},
+	{KindDomainCut, 2},
+	{KindServersCrash, 2},
+	{KindPoison, 2},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
@@ -105,6 +114,8 @@
 	// faults.
 	seriesShare = 0.15
 	maxSeries   = 3
+	// poisonShare is the part of a run, from its begin, in which the first Poison starts.
+	poisonShare = 3
 )
 
 // NewPlan draws the faults of a run of the given length, sorted by their start.
@@ -123,7 +134,13 @@
 		}
 		return KindKill
 	}
-	var plan []Fault
+	// Prompts that crash servers come in each run, early enough for the checks.
+	plan := []Fault{{
+		At:       clock.Millis(random.Int64N(int64(length) / poisonShare)),
+		Duration: minFaultDuration,
+		Kind:     KindPoison,
+		Target:   random.IntN(hosts),
+	}}
 	for range int(length) / meanFaultInterval {
 		f := Fault{
 			At:       clock.Millis(random.Int64N(int64(length))),
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -5,7 +5,8 @@
 //   - relays delay, stall and reset connections, or drop one direction;
 //   - the store is down or slow, sends no watch events, loses responses or rejects
 //     single hosts;
-//   - servers leave, join and misbehave;
+//   - servers leave, join, misbehave and crash, together or by prompts with one segment;
+//   - failure domains are cut off from one another and from the store;
 //   - manifests change and keys are revoked.
 //
 // Faults repeat in series and overlap.
@@ -48,6 +49,9 @@
 	// logs.
 	Program string
 	Folder  string
+	// Engines is the number of engines, at least six. A service of more than 64 has
+	// several pools, each with a keeper.
+	Engines int
 	// Network is the third byte of the hosts' addresses; concurrent runs need
 	// different ones.
 	Network int
@@ -57,9 +61,10 @@
 
 const (
 	// warmUp is the time before the first fault, coolDown the minimum time after the
-	// last one, in milliseconds, in which a stop ends and hosts restart.
+	// last one, in milliseconds, in which a stop ends, hosts restart and prompts that crash
+	// servers go on.
 	warmUp   = 2 * clock.Second
-	coolDown = 3 * clock.Second
+	coolDown = 8 * clock.Second
 	// progressPeriod is the time between two progress lines, in milliseconds.
 	progressPeriod = 5 * clock.Second
 	// lagCheckPeriod is the time between two checks of the machine's own lag. Time
@@ -87,6 +92,9 @@
 		callers.Go(func() { hn.runCaller(callersCtx, i, random) })
 	}
 	callers.Go(func() { hn.watchLag(callersCtx) })
+	hn.sendPoison = func(segment string) {
+		callers.Go(func() { hn.runPoison(callersCtx, segment) })
+	}
 	hn.pause(ctx, warmUp)
 	hn.recordLeaks("before")
 	plan := NewPlan(o.Seed, o.Hosts, o.Duration)
