--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -329,6 +329,9 @@
 	if e, ok := endlessResponses[behavior]; ok {
 		return o.writeEndless(c, id, e)
 	}
+	if half, ok := halfStreams[behavior]; ok {
+		return o.writeHalf(c, id, half)
+	}
 	switch behavior {
 	case Fail:
 		return o.writePlain(c, 500, id, "failed", "")
@@ -337,8 +340,6 @@
 	case crashAtSegment:
 		o.writeCrash(c, r)
 		return false
-	case HalfEvent, HalfEventChunks, NoEvent:
-		return o.writeHalf(c, id, behavior)
 	case Moved:
 		return o.writePlain(c, 421, id, "moved", "")
 	case Reset:
@@ -456,21 +457,27 @@
 	return err == nil
 }
 
-// writeHalf writes a stream that ends inside an event, or before any.
-func (o *Origin) writeHalf(c net.Conn, id string, behavior Behavior) bool {
-	at := strings.Index(FullStream(), Event(Events/2))
-	text := FullStream()[:at+len(Event(Events/2))/2]
-	switch behavior {
-	case NoEvent:
-		text = "\r\n"
-	case HalfEvent:
-		text = "\r\n" + text
-	default:
-		text = chunkedBody + chunk(text) + "0\r\n\r\n"
+// halfStream is a stream that ends inside an event, or before any.
+type halfStream struct {
+	text      string
+	keepsOpen bool
+}
+
+var (
+	halfText    = FullStream()[:strings.Index(FullStream(), Event(Events/2))+len(Event(Events/2))/2]
+	halfStreams = map[Behavior]halfStream{
+		HalfEvent:       {"\r\n" + halfText, false},
+		HalfEventChunks: {chunkedBody + chunk(halfText) + "0\r\n\r\n", true},
+		NoEvent:         {"\r\n", false},
 	}
+)
+
+// writeHalf writes a stream that does not end with an event. It reports whether the
+// connection stays open.
+func (o *Origin) writeHalf(c net.Conn, id string, half halfStream) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s",
-		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, text)
-	return err == nil && behavior == HalfEventChunks
+		o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, half.text)
+	return err == nil && half.keepsOpen
 }
 
 // crashDelay is the time from the begin of an answer to the crash.
