--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -333,10 +333,8 @@
 		return o.writeHalf(c, id, half)
 	}
 	switch behavior {
-	case Fail:
-		return o.writePlain(c, 500, id, "failed", "")
-	case NotRun:
-		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n")
+	case Fail, NotRun:
+		return o.writeError(c, id, behavior)
 	case crashAtSegment:
 		o.writeCrash(c, r)
 		return false
@@ -364,6 +362,14 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// writeError answers with an error, which says so if the request did not run.
+func (o *Origin) writeError(c net.Conn, id string, behavior Behavior) bool {
+	if behavior == NotRun {
+		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n")
+	}
+	return o.writePlain(c, 500, id, "failed", "")
+}
+
 // endlessBytes is the length of the text that endless bodies repeat.
 const endlessBytes = 4_000
 
