Rate limits that servers name are logged and counted

On-call could not tell whether a host had seen a server's limit: the field was forwarded like any other. Now a line tells each change and a gauge the number of limited servers. Nothing heeds the limits yet.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -80,7 +80,7 @@
 	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
 	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded"},
-	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided"},
+	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided; Limited ones, which have named a rate limit, are among the usable"},
 	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
 	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
 	{Ready, "Gauge", "0 or 1", "", "whether the host asks for new connections"},
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -107,6 +107,7 @@
 	listener        net.Listener
 	crashOnce       sync.Once
 	crashSegments   []string
+	rateLimit       string
 	mu              sync.Mutex
 	queue           []Behavior
 	defaultBehavior Behavior
@@ -175,6 +176,23 @@
 	o.defaultBehavior = b
 }
 
+// SetRateLimit sets the rate limit that responses name, "" for none.
+func (o *Origin) SetRateLimit(text string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rateLimit = text
+}
+
+// limitField returns the header line of the rate limit, if there is one.
+func (o *Origin) limitField() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.rateLimit == "" || o.Fields.RateLimit == "" {
+		return ""
+	}
+	return o.Fields.RateLimit + ": " + o.rateLimit + "\r\n"
+}
+
 // SetCrashSegments sets the names of prompt segments. The server crashes when it begins to
 // answer a prompt with one of them before its last segment.
 func (o *Origin) SetCrashSegments(names ...string) {
@@ -423,7 +441,7 @@
 // each ending in CRLF.
 func (o *Origin) writePlain(c net.Conn, status int, id, body, extraFields string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n%s",
-		status, len(body), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, extraFields, body)
+		status, len(body), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, extraFields+o.limitField(), body)
 	return err == nil
 }
 
@@ -439,8 +457,8 @@
 		}
 		first = n + 1
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n",
-		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n",
+		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, o.limitField())
 	for n := first; n <= Events && err == nil; n++ {
 		event := Event(n)
 		if behavior == Tear && n == Events/2 {
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -87,7 +87,8 @@
 func (j *job) exchange(ctx context.Context, choice place.Choice) result {
 	r := j.request
 	wait := j.headerTimeout()
-	firstEventBy := j.proxy.Clock.Now() + wait
+	sentAt := j.proxy.Clock.Now()
+	firstEventBy := sentAt + wait
 	response, sent, err := j.proxy.Client.Do(ctx, wire.Request{
 		Address:          choice.Server.Address,
 		Method:           r.Method,
@@ -112,6 +113,7 @@
 		// The server at this address is not the one in the Server field.
 		return result{outcome: place.OutcomeMoved, sent: retry.SentNothing, cause: "Moved"}
 	}
+	j.observeLimit(choice, response, sentAt)
 	if response.Header(j.proxy.Fields.NotRun) != "" {
 		// The server states that it did not run the request.
 		return result{outcome: place.OutcomeFull, sent: retry.SentNothing, cause: "NotRun"}
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -39,6 +39,7 @@
 	Urgency:        "Urgency",
 	LastEvent:      "Last-Event-Id",
 	NotRun:         "Not-Run",
+	RateLimit:      "Rate-Limit",
 	ServerStamp:    "Stamp",
 	PromptSegments: "Prompt-Parts",
 	TokenCounts:    "Token-Counts",
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -42,6 +42,7 @@
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/limit"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/route"
@@ -71,6 +72,9 @@
 	LastEvent string
 	// NotRun marks a response whose request was not run.
 	NotRun string
+	// RateLimit is the rate that a server takes from all hosts together, in requests a
+	// second. A server in need sets it in its responses.
+	RateLimit string
 	// ServerStamp marks responses that come from a server.
 	ServerStamp string
 	// PromptSegments lists the segments of the prompt as NAME:TOKENS, separated by
@@ -112,8 +116,10 @@
 	draining   context.Context
 	startDrain context.CancelFunc
 	buffers    buffers
-	// mu guards Placer and Repeats.
+	// mu guards Placer, Repeats and limits.
 	mu sync.Mutex
+	// limits are the rates that servers have named to this host.
+	limits *limit.Table
 	// droppedRequestFields are the lower-case names of request fields that are not forwarded.
 	droppedRequestFields map[string]bool
 }
@@ -121,6 +127,7 @@
 // Prepare builds the tables that depend on Fields. It is called once, before
 // Handle.
 func (p *Proxy) Prepare() {
+	p.limits = limit.NewTable()
 	p.draining, p.startDrain = context.WithCancel(context.Background())
 	p.droppedRequestFields = map[string]bool{}
 	reserved := append([]string{p.Fields.Key, p.Fields.Workspace, p.Fields.Server, p.Fields.Urgency, p.Fields.Timeout, p.Fields.NotRun}, p.Fields.Reserved...)
@@ -166,6 +173,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Placer.SetServers(all)
+	p.retainLimits(all)
 	if p.Broker != nil {
 		p.Broker.SetServers(all)
 	}
@@ -193,6 +201,7 @@
 	state := func(name string, n int) { p.Count.Set(meter.Servers, int64(n), meter.Label("state", name)) }
 	state("Leaving", leaving)
 	state("Avoided", avoided)
+	state("Limited", p.limits.Count())
 	state("Usable", len(view.Servers)-leaving-avoided)
 }
 
