--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -21,12 +21,15 @@
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
 	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/route"
 	"siskinsaddle/internal/serve/httpd"
 	"siskinsaddle/internal/serve/proxy"
 	"siskinsaddle/internal/serve/wire"
+	"siskinsaddle/internal/share/broker"
 	"siskinsaddle/internal/share/guard"
+	"siskinsaddle/internal/share/member"
 	"siskinsaddle/internal/share/watch"
 )
 
@@ -224,3 +227,14 @@
 	c := qt.New(t)
 	return c, newHarness(c, servers, stream)
 }
+
+// withBroker lets the host keep its services itself.
+func (r *harness) withBroker() {
+	self := []member.Member{{Name: "host", Cores: 1}}
+	r.forwarder.Broker = &broker.Broker{
+		Self: "host", Members: func() []member.Member { return self }, Guard: r.forwarder.Guard,
+		Clock: clock.System(), Log: r.forwarder.Log, Count: r.count, Settings: grant.Defaults(),
+	}
+	r.forwarder.Broker.Register()
+	r.forwarder.SetServers(r.serverList())
+}
