Servers get no more than the rate that they name

Servers in need got as many requests as before they named a limit: two engines with limits of 1 and 1.5 requests a second got 13 and 20 in 4 s, where 11 and 14 are allowed.

Now each host keeps what servers name and passes it on with its grant requests; the keeper grants from a token bucket, urgent requests first, and counts the wait for a token like pending prefill. While a server of a service has a rate, calls without prompts ask the keeper too, since the rate holds for all hosts together.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -15,6 +15,9 @@
 //     a pause for decoding. Without these pauses the answers running on the server
 //     get one token for each chunk of a prompt, and none of them completes in time.
 //     Requests wait in the keeper's queue instead, in the order of their tiers.
+//   - A server that has named a rate gets no more than that, the most urgent requests
+//     first. While there is one, the keeper also decides on the service's calls
+//     without prompts.
 //   - Short prompts have their own servers, in proportion to their share of the
 //     prefill work. On a server with long prompts, the time between tokens of an
 //     answer grows to the time for prefilling one chunk.
@@ -38,6 +41,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/limit"
 	"siskinsaddle/internal/policy/place"
 )
 
@@ -61,6 +65,20 @@
 	TimeLeft clock.Millis
 	// Avoid are the IDs of servers that were tried already or that the host avoids.
 	Avoid []string
+	// Plain is set for a call without a prompt. The keeper decides on calls while one of
+	// the service's servers has a rate limit.
+	Plain bool
+	// Limits are the rates that the host knows of.
+	Limits []Limit
+}
+
+// Limit is the rate that a server has named, in requests a second, 0 for none. Age is the
+// time since then, in milliseconds.
+type Limit struct {
+	Server string
+	Born   int64
+	Rate   float64
+	Age    clock.Millis
 }
 
 // Decision is the reply to a Request. Server is empty if the request is refused.
@@ -85,6 +103,10 @@
 	Next          string
 	NextCost      clock.Millis
 	OthersWaiting int
+	// Rate is the rate that the server has named, 0 for none. Limited is set if any server
+	// of the pool has named one.
+	Rate    float64
+	Limited bool
 	// SinceLastEvent is the time since the last event that showed the keeper that the
 	// server works, in milliseconds, -1 if there was none.
 	SinceLastEvent clock.Millis
@@ -131,6 +153,9 @@
 	// MinAnswerTime is the least time needed after the prefill to complete an answer,
 	// in milliseconds.
 	MinAnswerTime clock.Millis
+	// MinCallTime is the least time needed to complete a call without a prompt, in
+	// milliseconds.
+	MinCallTime clock.Millis
 	// MaxWaiting is the maximum number of requests in the queue. Above it the least
 	// urgent ones are refused.
 	MaxWaiting int
@@ -150,6 +175,7 @@
 		OtherGroupCost:     300,
 		RunningCost:        4,
 		MinAnswerTime:      1_200,
+		MinCallTime:        100,
 		RunningShortCost:   50,
 		PrefillWeight:      1,
 		MaxWaiting:         defaultMaxWaiting,
@@ -288,8 +314,42 @@
 	c.indexes[s.index] = false
 }
 
+// SetLimit sets the rate of a server, unless a later statement is known.
+func (c *Core) SetLimit(now clock.Millis, l Limit) {
+	s := c.servers[l.Server]
+	at := now - l.Age
+	if s == nil || s.Born != l.Born || at <= s.rateAt && s.rateAt != 0 {
+		return
+	}
+	switch {
+	case l.Rate == 0 && s.bucket == nil:
+		return
+	case l.Rate == 0:
+		s.bucket = nil
+	case s.bucket == nil:
+		s.bucket = limit.NewBucket(now, l.Rate)
+	default:
+		s.bucket.SetRate(now, l.Rate)
+	}
+	s.rateAt = at
+}
+
+// Limits returns the rates of all servers that have named one.
+func (c *Core) Limits(now clock.Millis) []Limit {
+	var all []Limit
+	for _, s := range c.rankedServers {
+		if s.bucket != nil {
+			all = append(all, Limit{Server: s.ID, Born: s.Born, Rate: s.rate(), Age: now - s.rateAt})
+		}
+	}
+	return all
+}
+
 // Enqueue adds a request to the queue, from which Next grants or refuses it.
 func (c *Core) Enqueue(now clock.Millis, r Request) {
+	for _, l := range r.Limits {
+		c.SetLimit(now, l)
+	}
 	c.class(r.Class).observe(r)
 	c.queue = append(c.queue, &queuedRequest{
 		Request: r, prefix: c.useSegments(r.Segments), queuedAt: now, deadline: now + r.TimeLeft,
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -96,8 +96,9 @@
 	usable := c.usable(now)
 	shortCount := c.shortServers(now, len(usable))
 	remaining := c.queue[:0]
+	limited := slices.ContainsFunc(c.rankedServers, func(s *server) bool { return s.bucket != nil })
 	for _, s := range usable {
-		s.plannedPrefill = 0
+		s.plannedPrefill, s.plannedRequests = 0, 0
 		s.updateStartDelay(now)
 	}
 	// queuedPrefill is indexed by kind of class: 0 for long, 1 for short.
@@ -118,7 +119,7 @@
 			continue
 		}
 		c.releaseSegments(q.prefix)
-		d.ID, d.Host, d.Waited = q.ID, q.Host, now-q.queuedAt
+		d.ID, d.Host, d.Waited, d.Limited = q.ID, q.Host, now-q.queuedAt, limited
 		decisions = append(decisions, d)
 	}
 	c.queue = remaining
@@ -235,11 +236,11 @@
 	if !ok {
 		return Decision{Reason: "NoServer", RetryAfter: noServerRetryAfter}, true
 	}
-	if now+clock.Millis(max(best.startDelay, queuedPrefill)+best.prefill)+c.settings.MinAnswerTime > q.deadline {
+	if now+clock.Millis(max(best.startDelay, queuedPrefill)+best.prefill)+c.minAnswerTime(q) > q.deadline {
 		return Decision{Reason: "OutOfTime", RetryAfter: clock.Millis(max(best.startDelay, queuedPrefill))}, true
 	}
 	if !c.ready(best) {
-		best.server.plannedPrefill += best.prefill
+		best.server.plan(now, best.prefill)
 		return Decision{}, false
 	}
 	d := Decision{
@@ -248,6 +249,7 @@
 		StartDelay:     clock.Millis(best.startDelay),
 		Cost:           clock.Millis(best.cost),
 		OthersWaiting:  len(c.queue) - 1,
+		Rate:           best.server.rate(),
 		SinceLastEvent: -1,
 	}
 	if best.server.lastEventAt > 0 {
@@ -257,14 +259,24 @@
 		d.Next, d.NextCost = next.server.ID, clock.Millis(next.cost)
 	}
 	g := c.assign(now, q.Request, q.deadline, best.server)
+	if best.server.bucket != nil {
+		best.server.bucket.Take(now)
+	}
 	best.server.updateStartDelay(now)
 	c.class(q.Class).addWork(now, g.prefill)
 	return d, true
 }
 
+func (c *Core) minAnswerTime(q *queuedRequest) clock.Millis {
+	if q.Plain {
+		return c.settings.MinCallTime
+	}
+	return c.settings.MinAnswerTime
+}
+
 // ready reports whether the candidate's server should get the request now.
 func (c *Core) ready(o candidate) bool {
-	if o.segmentPending || o.full || o.server.plannedPrefill > 0 {
+	if o.segmentPending || o.full || o.server.plannedPrefill > 0 || o.server.limitWait > 0 {
 		return false
 	}
 	if o.prefill <= c.settings.QuickPrefill {
@@ -299,10 +311,10 @@
 			continue
 		}
 		c.evaluate(q, s, &o)
-		if shortCount > 0 && short != (i < shortCount) {
+		if !q.Plain && shortCount > 0 && short != (i < shortCount) {
 			o.cost += c.settings.OtherGroupCost
 		}
-		if !short {
+		if !q.Plain && !short {
 			o.cost += c.settings.RunningShortCost * float64(s.runningShort)
 		}
 		switch {
@@ -321,7 +333,7 @@
 // event, and the time that repeated prefill takes from other requests. It sets all
 // fields of o, which the caller reuses for all servers.
 func (c *Core) evaluate(q *queuedRequest, s *server, o *candidate) {
-	o.server, o.startDelay, o.full = s, s.startDelay, false
+	o.server, o.startDelay, o.full = s, max(s.startDelay, float64(s.limitWait)), false
 	o.uncached, o.segmentPending = s.uncachedAfterPending(q)
 	o.prefill = c.prefillTime(o.uncached)
 	o.cost = o.startDelay + o.prefill + c.settings.RunningCost*float64(s.running)
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -5,6 +5,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/policy/limit"
 	"siskinsaddle/internal/policy/place"
 )
 
@@ -34,7 +35,16 @@
 	cached         map[string]cachedSegment
 	cachedTokens   int
 	health         place.Health
-	removed        bool
+	// bucket limits the requests of a server that has named a rate, and is nil for others.
+	// rateAt is when the rate, or that there is none, was last stated.
+	bucket *limit.Bucket
+	rateAt clock.Millis
+	// limitWait is the time until the bucket has a token, in milliseconds, and
+	// plannedRequests the number of queued requests for which this server is the best.
+	// Both are valid during one round of decisions.
+	limitWait       clock.Millis
+	plannedRequests int
+	removed         bool
 	// lastEventHost is the host that last received an event from the server, at
 	// lastEventAt.
 	lastEventHost string
@@ -87,6 +97,27 @@
 // updateStartDelay computes startDelay.
 func (s *server) updateStartDelay(now clock.Millis) {
 	s.startDelay = s.backlog(now) + s.remainingPause(now)
+	s.limitWait = 0
+	if s.bucket != nil {
+		s.limitWait = s.bucket.Wait(now, s.plannedRequests)
+	}
+}
+
+// plan records that a queued request waits for the server.
+func (s *server) plan(now clock.Millis, prefill float64) {
+	s.plannedPrefill += prefill
+	if s.bucket != nil {
+		s.plannedRequests++
+		s.limitWait = s.bucket.Wait(now, s.plannedRequests)
+	}
+}
+
+// rate returns the rate that the server has named, in requests a second, 0 for none.
+func (s *server) rate() float64 {
+	if s.bucket == nil {
+		return 0
+	}
+	return s.bucket.Rate()
 }
 
 // addRequest adds a request to the server's prefill queue and counts.
--- a/internal/policy/limit/limit.go
+++ b/internal/policy/limit/limit.go
@@ -103,13 +103,21 @@
 // Rate returns the rate of a server, 0 for no limit.
 func (t *Table) Rate(service, server string) float64 { return t.services[service][server].rate }
 
-// Statements returns the rates of a service's servers.
-func (t *Table) Statements(service string) []Statement {
-	var all []Statement
+// All calls f with the rates of a service's servers and their ages in milliseconds.
+func (t *Table) All(now clock.Millis, service string, f func(s Statement, age clock.Millis)) {
 	for server, e := range t.services[service] {
-		all = append(all, Statement{Service: service, Server: server, Born: e.born, Rate: e.rate})
+		f(Statement{Service: service, Server: server, Born: e.born, Rate: e.rate}, now-e.namedAt)
+	}
+}
+
+// Lift forgets the rates of a service's servers that were named before a time, if f returns
+// true for them.
+func (t *Table) Lift(service string, before clock.Millis, f func(server string) bool) {
+	for server, e := range t.services[service] {
+		if e.namedAt < before && f(server) {
+			t.delete(service, server)
+		}
 	}
-	return all
 }
 
 // Retain forgets the incarnations of servers for which keep returns false.
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -49,7 +49,7 @@
 }
 
 func (j *job) chooseServer(ctx context.Context) (place.Choice, *refuse.Refusal) {
-	if j.route.Prompts && len(j.place.Segments) > 0 && j.proxy.Broker != nil {
+	if j.asksKeeper() {
 		choice, refusal, err := j.requestGrant(ctx)
 		if err == nil {
 			return choice, refusal
@@ -64,14 +64,27 @@
 	}
 	j.proxy.mu.Lock()
 	defer j.proxy.mu.Unlock()
-	choice, ok := j.proxy.Placer.Choose(j.proxy.Clock.Now(), j.place)
-	if !ok {
-		return choice, refuse.New(refuse.ReasonNoServer).WithRetryAfter(noServerWait)
+	return j.chooseAlone(j.proxy.Clock.Now())
+}
+
+// asksKeeper reports whether a keeper decides: on prompts, and on all requests of a service
+// with a server that has named a rate limit, which holds for all hosts together.
+func (j *job) asksKeeper() bool {
+	p := j.proxy
+	if p.Broker == nil {
+		return false
 	}
-	j.placedBy = choice.Reason
-	return choice, nil
+	if j.prompt() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.Limited(j.service)
 }
 
+// prompt reports whether the request has a prompt whose segments are known.
+func (j *job) prompt() bool { return j.route.Prompts && len(j.place.Segments) > 0 }
+
 // prefixServer returns the server at which this host last saw the prompt's prefix
 // segments prefilled, or "" if there is none.
 func (j *job) prefixServer() string {
@@ -101,6 +114,8 @@
 		Target:   j.route.Target,
 		TimeLeft: j.deadline - now,
 		Avoid:    avoid,
+		Plain:    !j.prompt(),
+		Limits:   j.knownLimits(now),
 	}
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -111,6 +126,7 @@
 		return place.Choice{}, nil, err
 	}
 	j.decision = d
+	j.liftLimits(now, request)
 	j.placedBy, j.waited, j.startDelay = d.Reason, j.waited+d.Waited, d.StartDelay
 	if d.Server == "" {
 		return place.Choice{}, keeperRefusal(d), nil
@@ -138,7 +154,7 @@
 	"OutOfTime": refuse.ReasonFull,
 	"QueueFull": refuse.ReasonFull,
 
-	"Quarantined": refuse.ReasonQuarantined,
+	broker.ReasonQuarantined: refuse.ReasonQuarantined,
 }
 
 // keeperRefusal returns the caller's refusal for a keeper's decision without a server.
--- a/internal/serve/proxy/limits_test.go
+++ b/internal/serve/proxy/limits_test.go
@@ -83,6 +83,7 @@
 				})
 			}
 			all.Wait()
+			c.Logf("arrivals %v, %d served", arrivals, served)
 			c.Check(wrong, qt.Equals, 0)
 			for i, n := range arrivals[:k.limited] {
 				c.Check(n <= maxRequests, qt.IsTrue, qt.Commentf("server %d got %d requests", i, n))
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -120,6 +120,9 @@
 	mu sync.Mutex
 	// limits are the rates that servers have named to this host.
 	limits *limit.Table
+	// buckets limit this host's share of the requests to a server while it decides alone,
+	// by server.
+	buckets map[string]*limit.Bucket
 	// droppedRequestFields are the lower-case names of request fields that are not forwarded.
 	droppedRequestFields map[string]bool
 }
@@ -127,7 +130,7 @@
 // Prepare builds the tables that depend on Fields. It is called once, before
 // Handle.
 func (p *Proxy) Prepare() {
-	p.limits = limit.NewTable()
+	p.limits, p.buckets = limit.NewTable(), map[string]*limit.Bucket{}
 	p.draining, p.startDrain = context.WithCancel(context.Background())
 	p.droppedRequestFields = map[string]bool{}
 	reserved := append([]string{p.Fields.Key, p.Fields.Workspace, p.Fields.Server, p.Fields.Urgency, p.Fields.Timeout, p.Fields.NotRun}, p.Fields.Reserved...)
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -125,6 +125,7 @@
 	b.Link.Handle(kindRequest, b.handleRequest)
 	b.Link.Handle(kindEvent, b.handleEvent)
 	b.Link.Handle(kindReport, b.handleReport)
+	b.Link.Handle(kindLimit, b.handleLimit)
 }
 
 // SetServers replaces the list of servers.
@@ -367,6 +368,48 @@
 	}
 }
 
+// NoteLimit tells the keepers of a server, now and next, the rate that it has named.
+func (b *Broker) NoteLimit(service string, l grant.Limit) {
+	b.mu.Lock()
+	split := b.split(service)
+	b.mu.Unlock()
+	for i := range split.Count() {
+		if split.Has(i, l.Server) {
+			b.sendLimit(pool{service, i}, l)
+			return
+		}
+	}
+}
+
+func (b *Broker) sendLimit(p pool, l grant.Limit) {
+	for _, keeper := range b.keepers(p) {
+		if keeper == b.Self {
+			b.poolKeeper(p).setLimit(l)
+			continue
+		}
+		if err := b.Link.Send(keeper, kindLimit, limitMessage{Service: p.service, Pool: p.index, Limit: l}); err != nil {
+			b.Log.Debug("Sending a server's rate limit to its keeper failed.", "keeper", keeper, "server", l.Server, "err", err)
+		}
+	}
+}
+
+func (b *Broker) handleLimit(_ context.Context, _ link.Peer, body []byte) (any, error) {
+	var m limitMessage
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	b.poolKeeper(pool{m.Service, m.Pool}).setLimit(m.Limit)
+	return nil, nil
+}
+
+// InPool reports whether a server belongs to the pool whose keeper decides on a request.
+func (b *Broker) InPool(service string, req grant.Request, server string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	split := b.split(service)
+	return split.Has(split.Pool(req.Segments), server)
+}
+
 func (b *Broker) poolKeeper(p pool) *poolKeeper {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -32,6 +32,10 @@
 	maxSuspension = 700 * clock.Millis(1)
 )
 
+// ReasonQuarantined is the reason of a decision that refuses a prompt for one of its
+// segments.
+const ReasonQuarantined = "Quarantined"
+
 // errReset ends the requests that wait at a keeper whose host was suspended.
 var errReset = errors.New("the keeper's host was suspended and the request dropped")
 
@@ -154,7 +158,7 @@
 	if segment == "" {
 		return grant.Decision{}, false
 	}
-	return grant.Decision{ID: req.ID, Host: req.Host, Reason: "Quarantined", RetryAfter: left}, true
+	return grant.Decision{ID: req.ID, Host: req.Host, Reason: ReasonQuarantined, RetryAfter: left}, true
 }
 
 // watchRequest passes a granted request to the guard.
@@ -174,7 +178,7 @@
 	decided := make(chan grant.Decision, 1)
 	k.mu.Lock()
 	k.waiting[req.ID] = decided
-	if !k.used {
+	if !k.used && !req.Plain {
 		k.used = true
 		k.queryCached()
 	}
@@ -220,6 +224,14 @@
 	k.decide()
 }
 
+// setLimit sets the rate that a server of the pool has named.
+func (k *poolKeeper) setLimit(l grant.Limit) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.core.SetLimit(k.clock.Now(), l)
+	k.decide()
+}
+
 func (k *poolKeeper) handleReport(m reportMessage) {
 	for _, r := range m.Running {
 		if k.guard == nil {
@@ -296,9 +308,12 @@
 		close(decided)
 		delete(k.waiting, id)
 	}
-	cached := k.core.CachedSegments()
+	cached, limits := k.core.CachedSegments(), k.core.Limits(k.clock.Now())
 	k.core = grant.New(k.settings)
 	k.core.SetServers(k.servers)
+	for _, l := range limits {
+		k.core.SetLimit(k.clock.Now(), l)
+	}
 	k.core.AddCached(k.clock.Now(), cached)
 }
 
--- a/internal/share/broker/wire.go
+++ b/internal/share/broker/wire.go
@@ -12,6 +12,7 @@
 	kindRequest = "GrantAsk"
 	kindEvent   = "GrantNote"
 	kindReport  = "GrantReport"
+	kindLimit   = "RateLimit"
 )
 
 // requestMessage is a grant request to a pool's keeper. The keeper replies with a
@@ -50,6 +51,13 @@
 	Quarantine []guard.Verdict
 }
 
+// limitMessage tells a keeper the rate that a server has named.
+type limitMessage struct {
+	Service string
+	Pool    int
+	Limit   grant.Limit
+}
+
 type runningRequest struct {
 	Request grant.Request
 	Server  string
