Suspects of a crash are added for a second only

A server that breaks connections for minutes without a crash would have gathered suspects all the time, some thousand at 100 prompts a second, to be ranked after each. Read in the diff, not seen.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -49,7 +49,10 @@
 	SurviveTime clock.Millis
 	// EpisodeGap is the least time between two crashes that both count.
 	EpisodeGap clock.Millis
-	// SettleTime is the time after a crash in which other hosts report their suspects.
+	// ReportTime is the time after a crash in which suspects are added to it. A server
+	// that breaks connections for longer has not crashed.
+	ReportTime clock.Millis
+	// SettleTime is the time in which most hosts have reported the suspects of a crash.
 	SettleTime clock.Millis
 	// Window is the time after which a crash is forgotten.
 	Window clock.Millis
@@ -65,6 +68,7 @@
 		SurvivorThreshold: 5,
 		SurviveTime:       500,
 		EpisodeGap:        50,
+		ReportTime:        clock.Second,
 		SettleTime:        50,
 		Window:            2 * clock.Minute,
 		MaxOpen:           20_000,
@@ -267,10 +271,13 @@
 // addCrash adds suspects to the crash of a server, which may be known.
 func (t *Tracker) addCrash(now clock.Millis, added Crash) {
 	for _, k := range t.crashes {
-		if k.Server == added.Server {
+		if k.Server != added.Server {
+			continue
+		}
+		if now <= k.at+t.settings.ReportTime {
 			k.Suspects = append(k.Suspects, added.Suspects...)
-			return
 		}
+		return
 	}
 	t.crashes = append(t.crashes, &crash{Crash: Crash{Server: added.Server, Suspects: slices.Clone(added.Suspects)}, at: now})
 }
--- a/internal/serve/proxy/prompts_test.go
+++ b/internal/serve/proxy/prompts_test.go
@@ -58,6 +58,12 @@
 // Prompts with the segment arrive all the time, no two alike, among sound ones that share
 // their first segment.
 func TestPoisonedSegmentCrashesFewServers(t *testing.T) {
+	for _, keeper := range []bool{false, true} {
+		t.Run(fmt.Sprint("keeper ", keeper), func(t *testing.T) { testPoisonedSegment(t, keeper) })
+	}
+}
+
+func testPoisonedSegment(t *testing.T, keeper bool) {
 	const (
 		servers  = 24
 		senders  = 4
@@ -74,6 +80,9 @@
 		r.addCrashing(&crashes, &restarts, down)
 	}
 	r.forwarder.SetServers(r.serverList())
+	if keeper {
+		r.withBroker()
+	}
 	var mu sync.Mutex
 	var sound []bool
 	var all sync.WaitGroup
