The soak names rate limits and lifts them

Each run has a server that names a rate of 1 to 8 requests a second for 8 s and more, and then none. Invariants: LimitsHold (one and a half times the rate and five requests in any 4 s, from hosts that had passed it on), LimitedServersGetTheirShare (plain calls; and more than the rate once it is lifted).

--- a/internal/tools/soak/callers.go
+++ b/internal/tools/soak/callers.go
@@ -158,6 +158,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	s.Status = answer.StatusCode
 	s.Stamp = answer.Header.Get(platform.Headers.ServerStamp)
+	s.Limit = answer.Header.Get(platform.Headers.RateLimit)
 	s.AnswerID = answer.Header.Get(platform.Headers.RequestID)
 	body, err := io.ReadAll(answer.Body)
 	s.Body, s.Whole = string(body), err == nil
--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -30,6 +30,8 @@
 	Body     string
 	Stamp    string
 	AnswerID string
+	// Limit is the rate limit in the response.
+	Limit string
 }
 
 // The outcomes of a request for its caller.
@@ -106,6 +108,7 @@
 	Revoked    map[string]clock.Millis
 	Departures []Departure
 	Crashes    []Crash
+	Limits     []Limit
 	Versions   []Versions
 	Leaks      []Leak
 	// PeakMemory maps a host to the peak of its process's resident memory, in bytes.
@@ -164,6 +167,8 @@
 	{"PoisonedPromptsStop", poisonedPromptsStop},
 	{"SoundPromptsAreNotRefused", soundPromptsAreNotRefused},
 	{"SoundPromptsGoOn", soundPromptsGoOn},
+	{"LimitsHold", limitsHold},
+	{"LimitedServersGetTheirShare", limitedServersGetTheirShare},
 }
 
 func invariants() []string {
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -24,7 +24,7 @@
 		},
 		Leaks:      []Leak{{Host: 0, Resource: "descriptors", Before: 40, After: 60}},
 		PeakMemory: map[int]int64{0: hostMemoryBytes},
-		End:        60_000,
+		End:        150_000,
 	}
 	r.add(Request{ID: "book", Kind: route.KindUnsafe, At: 1_000, Ended: 1_050, Status: 200, Whole: true, Body: "answer of i-2", Stamp: "stamp-i-2", AnswerID: "book"}, 1)
 	r.add(Request{ID: "full", Kind: route.KindUnsafe, At: 1_000, Ended: 1_050, Status: 503, Whole: true}, 0)
@@ -36,6 +36,7 @@
 	r.add(Request{ID: "paused", Host: 1, At: 12_500, Ended: 12_600, Status: 502, Whole: true}, 0)
 	r.Arrivals = append(r.Arrivals, Arrival{ID: "paused", Server: "i-1", At: 12_550, Runs: true})
 	r.addPoison(crashLimit-1, allowedAfterLimit)
+	r.addLimited("i-app-7", 80_000, 2, 17)
 	r.add(Request{ID: "crossed", Host: 0, At: 30_500, Ended: 30_600}, 0)
 	return r
 }
@@ -58,6 +59,25 @@
 	}
 }
 
+// addLimited records a server that names a rate for 8 s and gets a number of requests in
+// the last 4 s, and many after it has lifted the rate.
+func (r *Record) addLimited(server string, from clock.Millis, rate float64, requests int) {
+	l := Limit{Server: server, Rate: rate, From: from, Until: from + 8_000}
+	r.Limits = append(r.Limits, l)
+	id := func(n int) string { return fmt.Sprint(server, "-", from, "-", n) }
+	for n := range requests + 40 {
+		at := from + 4_000 + clock.Millis(n)*200
+		if n >= requests {
+			at = l.Until + boundContact + clock.Millis(n-requests)*50
+		}
+		s := Request{ID: id(n), Kind: route.KindSafe, At: at, Ended: at, Status: 200, Whole: true, Body: "answer of " + server, Stamp: "stamp-" + server, AnswerID: id(n)}
+		r.Requests = append(r.Requests, s)
+		r.Arrivals = append(r.Arrivals, Arrival{ID: s.ID, Server: server, At: at, Runs: true})
+	}
+	told := Request{ID: id(-1), Kind: route.KindSafe, At: from, Ended: from, Status: 200, Whole: true, Body: "answer of " + server, Stamp: "stamp-" + server, AnswerID: id(-1), Limit: fmt.Sprint(rate)}
+	r.Requests = append(r.Requests, told)
+}
+
 // add records a request that ran a number of times.
 func (r *Record) add(s Request, runs int) {
 	r.Requests = append(r.Requests, s)
@@ -114,6 +134,12 @@
 				r.add(Request{ID: fmt.Sprint("starved", i), Kind: route.KindStream, Segments: []string{"first"}, At: 55_000, Status: 502, Whole: true}, 1)
 			}
 		},
+		"LimitsHold": func(r *Record) {
+			r.addLimited("i-app-8", 100_000, 2, 18)
+		},
+		"LimitedServersGetTheirShare": func(r *Record) {
+			r.addLimited("i-app-9", 120_000, 2, 3)
+		},
 		"MemoryIsBounded": func(r *Record) { r.PeakMemory[1] = hostMemoryBytes + 1 },
 	}
 	for _, invariant := range invariants() {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -116,6 +116,7 @@
 		KindDomainCut:    cutDomain,
 		KindServersCrash: crashServers,
 		KindPoison:       startPoison,
+		KindLimit:        limitServer,
 	}
 }
 
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -15,7 +15,8 @@
 // watches receive no events; TurnedAway has the store reject the calls of one host.
 // DomainCut cuts the hosts of the target's failure domain off from all others and from the
 // store. ServersCrash crashes half of the engines at once. Poison sends prompts that crash
-// engines until the end of the run.
+// engines until the end of the run. With Limit a server names the rate of requests that it
+// takes, and later none.
 const (
 	KindStop               Kind = "Stop"
 	KindKill               Kind = "Kill"
@@ -40,6 +41,7 @@
 	KindDomainCut          Kind = "DomainCut"
 	KindServersCrash       Kind = "ServersCrash"
 	KindPoison             Kind = "Poison"
+	KindLimit              Kind = "Limit"
 )
 
 // planned reports whether the kind is a planned operation, which must break nothing.
@@ -88,6 +90,7 @@
 	{KindDomainCut, 2},
 	{KindServersCrash, 2},
 	{KindPoison, 2},
+	{KindLimit, 3},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
@@ -114,10 +117,14 @@
 	// faults.
 	seriesShare = 0.15
 	maxSeries   = 3
-	// poisonShare is the part of a run, from its begin, in which the first Poison starts.
-	poisonShare = 3
+	// earlyShare is the part of a run, from its begin, in which the faults of everyRun
+	// start.
+	earlyShare = 3
 )
 
+// everyRun are faults that each run has, early enough for their checks.
+var everyRun = []Kind{KindPoison, KindLimit}
+
 // NewPlan draws the faults of a run of the given length, sorted by their start.
 func NewPlan(seed uint64, hosts int, length clock.Millis) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -134,13 +141,15 @@
 		}
 		return KindKill
 	}
-	// Prompts that crash servers come in each run, early enough for the checks.
-	plan := []Fault{{
-		At:       clock.Millis(random.Int64N(int64(length) / poisonShare)),
-		Duration: minFaultDuration,
-		Kind:     KindPoison,
-		Target:   random.IntN(hosts),
-	}}
+	var plan []Fault
+	for _, k := range everyRun {
+		plan = append(plan, Fault{
+			At:       clock.Millis(random.Int64N(int64(length) / earlyShare)),
+			Duration: minFaultDuration,
+			Kind:     k,
+			Target:   random.IntN(hosts),
+		})
+	}
 	for range int(length) / meanFaultInterval {
 		f := Fault{
 			At:       clock.Millis(random.Int64N(int64(length))),
