Crashes of one server under its old name count, and restarted hosts are told

An answer withdraws a crash within a second only. - A host that starts while the store is away learnt of a quarantine only by refusals of its keeper: a host tells each host that connects what is quarantined. - The record of a quarantine was written up to a minute after the store's return: now 4 s. - One such prompt a minute or less was never convicted: crashes count for ten minutes, up to 250 of them.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -7,7 +7,7 @@
 // and no prompt with it survived in between. It takes more crashes if prompts with the
 // segment survived before them. Crashes close to one another count as one:
 // servers that fail together, such as with their power, convict nothing. A server that
-// answers later requests has not crashed.
+// answers soon after has not crashed.
 //
 // Of several segments the one in most crashes is convicted first, and the crashes that
 // it explains no longer count against the segments of other prompts. Of segments that
@@ -49,13 +49,16 @@
 	SurviveTime clock.Millis
 	// EpisodeGap is the least time between two crashes that both count.
 	EpisodeGap clock.Millis
-	// ReportTime is the time after a crash in which suspects are added to it. A server
-	// that breaks connections for longer has not crashed.
+	// ReportTime is the time after a crash in which suspects are added to it, and in which
+	// a server that answers shows that it has not crashed. Later it may have started
+	// again, under the same name too.
 	ReportTime clock.Millis
 	// SettleTime is the time in which most hosts have reported the suspects of a crash.
 	SettleTime clock.Millis
 	// Window is the time after which a crash is forgotten.
 	Window clock.Millis
+	// MaxCrashes bounds the number of crashes that are kept.
+	MaxCrashes int
 	// MaxOpen bounds the number of requests, and of surviving segments, that are tracked.
 	MaxOpen int
 }
@@ -70,7 +73,8 @@
 		EpisodeGap:        50,
 		ReportTime:        clock.Second,
 		SettleTime:        50,
-		Window:            2 * clock.Minute,
+		Window:            10 * clock.Minute,
+		MaxCrashes:        250,
 		MaxOpen:           20_000,
 	}
 }
@@ -166,22 +170,25 @@
 		return
 	}
 	r.startedAt = now
-	t.answered(r)
+	t.answered(now, r.Server)
 }
 
-// answered withdraws the crash of a server that has answered a request granted after it.
-func (t *Tracker) answered(r *openRequest) {
+// answered withdraws the crash of a server that answers after it.
+func (t *Tracker) answered(now clock.Millis, server string) {
 	for _, k := range t.crashes {
-		if k.Server == r.Server && r.grantedAt > k.at {
-			t.withdraw(r.Server)
-			t.news.Alive = append(t.news.Alive, r.Server)
+		if k.Server == server && now > k.at+t.settings.SettleTime && now <= k.at+t.settings.ReportTime {
+			t.withdraw(now, server)
+			t.news.Alive = append(t.news.Alive, server)
 			return
 		}
 	}
 }
 
-func (t *Tracker) withdraw(server string) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(k *crash) bool { return k.Server == server })
+// withdraw removes the last crash of a server.
+func (t *Tracker) withdraw(now clock.Millis, server string) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(k *crash) bool {
+		return k.Server == server && now <= k.at+2*t.settings.ReportTime
+	})
 }
 
 // Ended records how a request ended. It reports whether the request is a suspect of a
@@ -193,7 +200,7 @@
 	}
 	delete(t.open, id)
 	if o == place.OutcomeServed {
-		t.answered(r)
+		t.answered(now, r.Server)
 		t.clear(now, r.Segments)
 		return false
 	}
@@ -271,13 +278,13 @@
 // addCrash adds suspects to the crash of a server, which may be known.
 func (t *Tracker) addCrash(now clock.Millis, added Crash) {
 	for _, k := range t.crashes {
-		if k.Server != added.Server {
-			continue
-		}
-		if now <= k.at+t.settings.ReportTime {
+		if k.Server == added.Server && now <= k.at+t.settings.ReportTime {
 			k.Suspects = append(k.Suspects, added.Suspects...)
+			return
 		}
-		return
+	}
+	if len(t.crashes) >= t.settings.MaxCrashes {
+		t.crashes = t.crashes[1:]
 	}
 	t.crashes = append(t.crashes, &crash{Crash: Crash{Server: added.Server, Suspects: slices.Clone(added.Suspects)}, at: now})
 }
@@ -299,7 +306,7 @@
 		t.unsuspect(name)
 	}
 	for _, server := range e.Alive {
-		t.withdraw(server)
+		t.withdraw(now, server)
 	}
 }
 
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -150,9 +150,12 @@
 	return s
 }
 
-// connected handles a new connection to a host, which may have restarted: this host has
-// to report to it again.
+// connected handles a new connection to or from a host, which may have restarted: this
+// host has to report to it again.
 func (b *Broker) connected(p link.Peer) {
+	if b.Guard != nil {
+		b.Guard.Welcome(p.Name)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.backoffs, p.Name)
--- a/internal/share/broker/poison_test.go
+++ b/internal/share/broker/poison_test.go
@@ -89,12 +89,17 @@
 			}
 			c.Assert(crashes <= 5, qt.IsTrue, qt.Commentf("%d crashes", crashes))
 			waitFor(c, func() bool { return g.quarantinedAt(alive) == len(alive) })
+			// A host that starts without the store hears of it from the first keeper.
+			g.add("h6", 0)
+			g.setServers(incarnations)
+			alive = append(alive, "h6")
 			for i, name := range alive {
 				d := g.requestGrant(name, newRequest(fmt.Sprint("sound", i), "shared"))
 				c.Assert(d.Server, qt.Not(qt.Equals), "")
 				g.hosts[name].broker.Started(fmt.Sprint("sound", i))
 				g.hosts[name].broker.Ended(fmt.Sprint("sound", i), place.OutcomeServed)
 			}
+			waitFor(c, func() bool { return g.quarantinedAt(alive) == len(alive) })
 		})
 	}
 }
--- a/internal/share/guard/spread.go
+++ b/internal/share/guard/spread.go
@@ -55,6 +55,9 @@
 	shareRetries = 120
 	// commitTimeout is the timeout of a call to the store, in milliseconds.
 	commitTimeout = 2 * clock.Second
+	// maxCommitDelay is the longest delay between two attempts to write to the store, in
+	// milliseconds.
+	maxCommitDelay = 4 * clock.Second
 	// maxSharing is the number of hosts that are told at a time.
 	maxSharing = 8
 )
@@ -74,6 +77,26 @@
 	}
 }
 
+// Welcome tells a host that has connected, and may just have started, what is quarantined.
+func (g *Guard) Welcome(name string) {
+	g.mu.Lock()
+	services := make([]string, 0, len(g.quarantine))
+	for service := range g.quarantine {
+		services = append(services, service)
+	}
+	g.mu.Unlock()
+	var all []Verdict
+	for _, service := range services {
+		all = append(all, g.Verdicts(service)...)
+	}
+	if len(all) == 0 {
+		return
+	}
+	if err := g.Link.Send(name, kindVerdict, all); err != nil {
+		g.Log.Debug("Telling a connected host of the quarantines failed.", "host", name, "err", err)
+	}
+}
+
 func (g *Guard) handleEvidence(_ context.Context, _ link.Peer, body []byte) (any, error) {
 	var m evidenceMessage
 	if err := link.Decode(body, &m); err != nil {
@@ -174,7 +197,7 @@
 		return
 	}
 	change := rows.Change{Writes: []rows.Row{{Table: g.Table, Key: key, Value: value}}, Removes: g.takeExpired(key)}
-	for delay := shareRetry; g.Clock.Wall() < until; delay = min(2*delay, clock.Minute) {
+	for delay := shareRetry; g.Clock.Wall() < until; delay = min(2*delay, maxCommitDelay) {
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout.Duration())
 		_, err := g.Commit(callCtx, change)
 		cancel()
