Two keepers at a time share the rates of servers

Now a keeper that grants a limited server tells the first hosts of its order each second, and those that do so too grant one and a half times the rate together.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -41,7 +41,6 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/fleet"
-	"siskinsaddle/internal/policy/limit"
 	"siskinsaddle/internal/policy/place"
 )
 
@@ -227,6 +226,8 @@
 	granted       map[string]*grantedRequest
 	classes       map[string]*class
 	prefillRate   float64
+	// keepers is the number of hosts that decide for the same servers, 0 for one.
+	keepers int
 	// segments are those that servers have cached or that requests contain.
 	segments map[string]*segment
 	// indexes has true for each server.index that is in use.
@@ -321,25 +322,40 @@
 	if s == nil || s.Born != l.Born || at <= s.rateAt && s.rateAt != 0 {
 		return
 	}
-	switch {
-	case l.Rate == 0 && s.bucket == nil:
+	if l.Rate == 0 && s.bucket == nil {
 		return
-	case l.Rate == 0:
-		s.bucket = nil
-	case s.bucket == nil:
-		s.bucket = limit.NewBucket(now, l.Rate)
-	default:
-		s.bucket.SetRate(now, l.Rate)
 	}
+	s.setRate(now, l.Rate, c.rateShare())
 	s.rateAt = at
 }
 
+// SetKeepers sets the number of hosts that decide for the same servers. There are several
+// for a while when hosts come, go or are cut off.
+func (c *Core) SetKeepers(now clock.Millis, n int) {
+	if n == c.keepers {
+		return
+	}
+	c.keepers = n
+	for _, s := range c.rankedServers {
+		if s.bucket != nil {
+			s.setRate(now, s.namedRate, c.rateShare())
+		}
+	}
+}
+
+// sharedRate is the part of a server's rate that several keepers grant together. They do
+// not know how many hosts ask each of them.
+const sharedRate = 1.5
+
+// rateShare returns the share of servers' rates that this keeper may grant.
+func (c *Core) rateShare() float64 { return min(1, sharedRate/float64(max(c.keepers, 1))) }
+
 // Limits returns the rates of all servers that have named one.
 func (c *Core) Limits(now clock.Millis) []Limit {
 	var all []Limit
 	for _, s := range c.rankedServers {
 		if s.bucket != nil {
-			all = append(all, Limit{Server: s.ID, Born: s.Born, Rate: s.rate(), Age: now - s.rateAt})
+			all = append(all, Limit{Server: s.ID, Born: s.Born, Rate: s.namedRate, Age: now - s.rateAt})
 		}
 	}
 	return all
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -249,7 +249,7 @@
 		StartDelay:     clock.Millis(best.startDelay),
 		Cost:           clock.Millis(best.cost),
 		OthersWaiting:  len(c.queue) - 1,
-		Rate:           best.server.rate(),
+		Rate:           best.server.namedRate,
 		SinceLastEvent: -1,
 	}
 	if best.server.lastEventAt > 0 {
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -35,10 +35,11 @@
 	cached         map[string]cachedSegment
 	cachedTokens   int
 	health         place.Health
-	// bucket limits the requests of a server that has named a rate, and is nil for others.
-	// rateAt is when the rate, or that there is none, was last stated.
-	bucket *limit.Bucket
-	rateAt clock.Millis
+	// bucket limits the requests of a server that has named a rate, namedRate in requests a
+	// second, and is nil for others. rateAt is when the rate, or that there is none, was last stated.
+	bucket    *limit.Bucket
+	namedRate float64
+	rateAt    clock.Millis
 	// limitWait is the time until the bucket has a token, in milliseconds, and
 	// plannedRequests the number of queued requests for which this server is the best.
 	// Both are valid during one round of decisions.
@@ -112,12 +113,18 @@
 	}
 }
 
-// rate returns the rate that the server has named, in requests a second, 0 for none.
-func (s *server) rate() float64 {
-	if s.bucket == nil {
-		return 0
+// setRate sets the rate that the server has named, 0 for none, and the share of it that
+// this keeper may grant.
+func (s *server) setRate(now clock.Millis, rate, share float64) {
+	s.namedRate = rate
+	switch {
+	case rate == 0:
+		s.bucket = nil
+	case s.bucket == nil:
+		s.bucket = limit.NewBucket(now, rate*share)
+	default:
+		s.bucket.SetRate(now, rate*share)
 	}
-	return s.bucket.Rate()
 }
 
 // addRequest adds a request to the server's prefill queue and counts.
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -126,6 +126,7 @@
 	b.Link.Handle(kindEvent, b.handleEvent)
 	b.Link.Handle(kindReport, b.handleReport)
 	b.Link.Handle(kindLimit, b.handleLimit)
+	b.Link.Handle(kindActive, b.handleActive)
 }
 
 // SetServers replaces the list of servers.
@@ -166,9 +167,9 @@
 	}
 }
 
-// keepers returns the hosts that may decide for a pool, best first, without those in
-// backoff. The order of each of a service's pools starts at a different host.
-func (b *Broker) keepers(p pool) []string {
+// rankedKeepers returns the hosts that may decide for a pool, best first. The order of each
+// of a service's pools starts at a different host.
+func (b *Broker) rankedKeepers(p pool) []string {
 	members := b.Members()
 	maxCores := 0.0
 	for _, m := range members {
@@ -187,6 +188,13 @@
 		first := p.index % len(names)
 		names = append(names[first:], names[:first]...)
 	}
+	return names
+}
+
+// keepers returns the hosts that may decide for a pool, best first, without those in
+// backoff.
+func (b *Broker) keepers(p pool) []string {
+	names := b.rankedKeepers(p)
 	now := b.Clock.Now()
 	up := names[:0]
 	b.mu.Lock()
--- a/internal/share/broker/broker_test.go
+++ b/internal/share/broker/broker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -33,7 +34,9 @@
 	hosts   map[string]*host
 	// settings are those of hosts that are added, and commit is their store.
 	settings grant.Settings
-	commit   func(ctx context.Context, c rows.Change) (rows.Reply, error)
+	// unknown has, by host, a host that it does not know of.
+	unknown map[string]string
+	commit  func(ctx context.Context, c rows.Change) (rows.Reply, error)
 }
 
 type host struct {
@@ -43,6 +46,13 @@
 	stop   func()
 }
 
+// view returns the members that a host knows of.
+func (g *group) view(name string) []member.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(g.members), func(m member.Member) bool { return m.Name == g.unknown[name] })
+}
+
 func (g *group) list() []member.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,7 +77,7 @@
 		Name: name, Incarnation: 1, Listen: "127.0.0.1:0", Secret: []byte("a secret of the group's hosts"),
 		Clock: clock.System(), Log: l, Counters: count.NewSet(), DialTimeout: 300, SilenceTimeout: 300,
 		Address: func(peer string) (string, bool) {
-			for _, m := range g.list() {
+			for _, m := range g.view(name) {
 				if m.Name == peer {
 					return m.Address, true
 				}
@@ -77,7 +87,7 @@
 	}
 	counters := count.NewSet()
 	b := &broker.Broker{
-		Self: name, Members: g.list, Link: node, Clock: clock.System(),
+		Self: name, Members: func() []member.Member { return g.view(name) }, Link: node, Clock: clock.System(),
 		Log: logs.Limit(l, clock.System(), nil), Settings: g.settings,
 		Count: counters,
 	}
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -63,6 +63,13 @@
 	querySegments func(ctx context.Context, s fleet.Server) ([]place.Segment, error)
 	queried       map[string]bool
 	guard         *guard.Guard
+	// others are the other hosts that decide for this pool, by when they last said so. tell
+	// tells hosts that this one does. grantedAt is when it last granted a server with a
+	// rate limit, and toldAt when it last told the others.
+	others    map[string]clock.Millis
+	tell      func()
+	grantedAt clock.Millis
+	toldAt    clock.Millis
 	// used is set at the first request. Servers are not queried before it.
 	used bool
 }
@@ -79,6 +86,8 @@
 		waiting:       map[string]chan grant.Decision{},
 		querySegments: b.CachedSegments,
 		guard:         b.Guard,
+		others:        map[string]clock.Millis{},
+		tell:          func() { b.tellActive(p) },
 		queried:       map[string]bool{},
 	}
 }
@@ -271,7 +280,9 @@
 		k.log.Info("A server's health changed.",
 			"server", h.Server, "change", string(h.Change), "outcome", string(h.Outcome), "id", h.ID)
 	}
+	k.countKeepers(now)
 	for _, got := range k.core.Next(k.clock.Now()) {
+		k.grantedLimited(now, got)
 		if decided, ok := k.waiting[got.ID]; ok {
 			delete(k.waiting, got.ID)
 			decided <- got
@@ -308,6 +319,7 @@
 		close(decided)
 		delete(k.waiting, id)
 	}
+	k.others = map[string]clock.Millis{}
 	cached, limits := k.core.CachedSegments(), k.core.Limits(k.clock.Now())
 	k.core = grant.New(k.settings)
 	k.core.SetServers(k.servers)
--- a/internal/share/broker/wire.go
+++ b/internal/share/broker/wire.go
@@ -13,6 +13,7 @@
 	kindEvent   = "GrantNote"
 	kindReport  = "GrantReport"
 	kindLimit   = "RateLimit"
+	kindActive  = "KeeperActive"
 )
 
 // requestMessage is a grant request to a pool's keeper. The keeper replies with a
@@ -51,6 +52,13 @@
 	Quarantine []guard.Verdict
 }
 
+// activeMessage tells a host that the sender decides for a pool with rate limits. The reply
+// is whether the host does so too.
+type activeMessage struct {
+	Service string
+	Pool    int
+}
+
 // limitMessage tells a keeper the rate that a server has named.
 type limitMessage struct {
 	Service string
