--- a/internal/tools/soak/poison.go
+++ b/internal/tools/soak/poison.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/policy/route"
@@ -222,3 +224,24 @@
 func (r Record) overlapsCrash(from, until clock.Millis) bool {
 	return slices.ContainsFunc(r.Crashes, func(k Crash) bool { return k.At > from && k.At < until })
 }
+
+// crashText returns the number of crashes by each segment, and how many prompts with it
+// were refused, a line each.
+func (r Record) crashText() string {
+	var b strings.Builder
+	crashes := r.crashesBySegment()
+	for _, segment := range slices.Sorted(maps.Keys(crashes)) {
+		refused, all := 0, 0
+		for _, s := range r.Requests {
+			if slices.Contains(s.Segments, segment) {
+				all++
+				if isQuarantined(s) {
+					refused++
+				}
+			}
+		}
+		times := crashes[segment]
+		fmt.Fprintf(&b, "%s: %d crashes in %d ms, %d of %d prompts refused\n", segment, len(times), times[len(times)-1]-times[0], refused, all)
+	}
+	return b.String()
+}
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -148,6 +148,7 @@
 		largest = max(largest, bytes)
 	}
 	fmt.Fprintf(&b, "the largest host took %d MB of memory\n\n", largest>>20)
+	b.WriteString(r.Record.crashText())
 	b.WriteString(r.plot())
 	for _, f := range r.Plan {
 		fmt.Fprintf(&b, "  %6d ms  %s\n", f.At, f)
