--- a/internal/tools/soak/harness.go
+++ b/internal/tools/soak/harness.go
@@ -56,6 +56,8 @@
 	service string
 	relay   *midbox.Proxy
 	leaving bool
+	// limited is set while the server names a rate limit.
+	limited bool
 }
 
 // resourceCounts holds the open resources of a process, and which start of its host
--- a/internal/tools/soak/limits.go
+++ b/internal/tools/soak/limits.go
@@ -35,13 +35,21 @@
 var limitRates = []float64{1, 1.5, 3, 8}
 
 // limitServer has a server name a rate, for limitDuration longer than the fault: a server
-// of plain calls for even targets, else any.
+// of plain calls for even targets, else any. A server that names one already goes on with
+// it.
 func limitServer(ctx context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
 	for n := 0; f.Target%2 == 0 && s.service != serviceApp; n++ {
 		s = hn.targetServer(Fault{Target: f.Target + n})
 	}
 	rate := limitRates[rand.New(rand.NewPCG(hn.options.Seed, uint64(f.At))).IntN(len(limitRates))]
+	hn.mu.Lock()
+	limited := s.limited
+	s.limited = true
+	hn.mu.Unlock()
+	if limited {
+		return nil
+	}
 	s.SetRateLimit(fmt.Sprint(rate))
 	from := hn.now()
 	return func() {
@@ -49,6 +57,7 @@
 		s.SetRateLimit("")
 		hn.mu.Lock()
 		defer hn.mu.Unlock()
+		s.limited = false
 		hn.record.Limits = append(hn.record.Limits, Limit{Server: s.ID, Rate: rate, From: from, Until: hn.now()})
 	}
 }
