--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -246,3 +246,35 @@
 		rt.Fatalf("nothing was convicted in %d crashes", crashes)
 	})
 }
+
+// BenchmarkPrompt is one prompt that is granted, starts and is served beside 2,000 others.
+func BenchmarkPrompt(b *testing.B) {
+	s := newSimulation()
+	for i := range 2_000 {
+		s.send("busy", fmt.Sprint("first", i%20), fmt.Sprint("topic", i))
+	}
+	for i := 0; b.Loop(); i++ {
+		s.serve("s", "first1", fmt.Sprint("topic", i%2_000))
+		s.open["s"] = nil
+	}
+}
+
+// BenchmarkConvict is the evaluation of the most crashes that are kept, with four suspects
+// each and 2,000 open prompts.
+func BenchmarkConvict(b *testing.B) {
+	s := newSimulation()
+	for i := range 2_000 {
+		s.send("busy", fmt.Sprint("first", i%20), fmt.Sprint("topic", i))
+	}
+	for i := range Defaults().MaxCrashes {
+		server := fmt.Sprint("s", i)
+		for n := range 4 {
+			s.send(server, fmt.Sprint("topic", 4*i+n))
+		}
+		s.crash(server)
+		s.now += 100
+	}
+	for b.Loop() {
+		s.convict()
+	}
+}
