A host that starts asks its keepers what is quarantined

Keepers told each host that connected, over a connection of their own, and so did hosts that had just heard of it: in a soak run with 100 hosts the two hosts that convicted had connections from some 90 others beside those to them (dump of goroutines: 99 send queues, 89 accepted). Now the host that connects asks, on the connection that it has.

--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -154,9 +154,6 @@
 // connected handles a new connection to or from a host, which may have restarted: this
 // host has to report to it again.
 func (b *Broker) connected(p link.Peer) {
-	if b.Guard != nil {
-		b.Guard.Welcome(p.Name)
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.backoffs, p.Name)
@@ -377,6 +374,9 @@
 	if err := b.Link.Send(keeper, kindReport, m); err != nil {
 		b.Log.Debug("Sending a report to a keeper failed.", "keeper", keeper, "err", err)
 	}
+	if b.Guard != nil {
+		go b.Guard.Ask(context.Background(), keeper)
+	}
 }
 
 // NoteLimit tells the keepers of a server, now and next, the rate that it has named.
--- a/internal/share/guard/guard.go
+++ b/internal/share/guard/guard.go
@@ -83,6 +83,7 @@
 	if g.Link != nil {
 		g.Link.Handle(kindEvidence, g.handleEvidence)
 		g.Link.Handle(kindVerdict, g.handleVerdict)
+		g.Link.Handle(kindList, g.handleList)
 	}
 }
 
--- a/internal/share/guard/spread.go
+++ b/internal/share/guard/spread.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -18,6 +20,7 @@
 const (
 	kindEvidence = "CrashEvidence"
 	kindVerdict  = "Quarantine"
+	kindList     = "QuarantineList"
 )
 
 // Verdict is a quarantined segment. Left is the rest of its quarantine in milliseconds.
@@ -77,24 +80,29 @@
 	}
 }
 
-// Welcome tells a host that has connected, and may just have started, what is quarantined.
-func (g *Guard) Welcome(name string) {
-	g.mu.Lock()
-	services := make([]string, 0, len(g.quarantine))
-	for service := range g.quarantine {
-		services = append(services, service)
+// Ask adopts what another host has quarantined. A host that has just started learns of it in
+// this way too.
+func (g *Guard) Ask(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout.Duration())
+	defer cancel()
+	var all []Verdict
+	if err := g.Link.Call(ctx, name, kindList, nil, &all); err != nil {
+		g.Log.Debug("Asking a host for its quarantines failed.", "host", name, "err", err)
+		return
 	}
+	g.Adopt(all)
+}
+
+// handleList replies with all that is quarantined.
+func (g *Guard) handleList(context.Context, link.Peer, []byte) (any, error) {
+	g.mu.Lock()
+	services := slices.Collect(maps.Keys(g.quarantine))
 	g.mu.Unlock()
-	var all []Verdict
+	all := []Verdict{}
 	for _, service := range services {
 		all = append(all, g.Verdicts(service)...)
 	}
-	if len(all) == 0 {
-		return
-	}
-	if err := g.Link.Send(name, kindVerdict, all); err != nil {
-		g.Log.Debug("Telling a connected host of the quarantines failed.", "host", name, "err", err)
-	}
+	return all, nil
 }
 
 func (g *Guard) handleEvidence(_ context.Context, _ link.Peer, body []byte) (any, error) {
