Usual terms for the detection of poisoned segments

No tracker that convicts, evidence or verdicts, but a detector, observations and quarantines. An unused field is gone, and expired entries are dropped every 10 s instead of at each call once the bound on their number is reached. Behaves as before otherwise.

--- a/internal/policy/poison/poison.go
+++ b/internal/policy/poison/poison.go
@@ -3,18 +3,18 @@
 // to answer it, beside sound prompts that share their other segments.
 //
 // A prompt is a suspect of a crash if its connection broke before its answer had gone on
-// for SurviveTime. A segment is convicted once it was in suspects of Threshold crashes
+// for SurviveTime. A segment counts as poisoned once it was in suspects of Threshold crashes
 // and no prompt with it survived in between. It takes more crashes if prompts with the
 // segment survived before them. Crashes close to one another count as one:
-// servers that fail together, such as with their power, convict nothing. A server that
+// servers that fail together, such as with their power, show nothing. A server that
 // answers soon after has not crashed.
 //
-// Of several segments the one in most crashes is convicted first, and the crashes that
+// Of several segments the one in most crashes is taken first, and the crashes that
 // it explains no longer count against the segments of other prompts. Of segments that
 // always came together it is the last one, which fewer prompts have.
 //
 // The code is pure: the caller passes in the time and the events of all requests that it
-// knows of, and evidence from other hosts.
+// knows of, and observations from other hosts.
 //
 // # Usage
 //
@@ -23,7 +23,7 @@
 //	t.Started(now, id)
 //	t.Ended(now, id, place.OutcomeBroken)
 //	<-clk.After(poison.Defaults().SettleTime)
-//	for _, segment := range t.Convict(clk.Now()) { refuse(segment) }
+//	for _, segment := range t.Detect(clk.Now()) { refuse(segment) }
 package poison
 
 import (
@@ -36,8 +36,8 @@
 
 // Settings are the parameters of the decisions. Times are in milliseconds.
 type Settings struct {
-	// Threshold is the number of crashes that convict a segment. Of two segments with
-	// equally many crashes neither is convicted below TieThreshold, unless they always
+	// Threshold is the number of crashes after which a segment counts as poisoned. Of two segments with
+	// equally many crashes neither counts below TieThreshold, unless they always
 	// came together.
 	Threshold    int
 	TieThreshold int
@@ -93,7 +93,6 @@
 // openRequest is a request that has not ended.
 type openRequest struct {
 	Request
-	grantedAt clock.Millis
 	// startedAt is the time of the first event, 0 before it.
 	startedAt clock.Millis
 	survived  bool
@@ -106,8 +105,8 @@
 	Suspects [][]string
 }
 
-// Evidence is what one host has found out and others may need.
-type Evidence struct {
+// Observations is what one host has found out and others may need.
+type Observations struct {
 	Crashes []Crash
 	// Survived are segments of prompts that went on for long enough. Alive are servers
 	// that answered after their supposed crash.
@@ -115,8 +114,8 @@
 	Alive    []string
 }
 
-// Empty reports whether the evidence says nothing.
-func (e Evidence) Empty() bool {
+// Empty reports whether the observations says nothing.
+func (e Observations) Empty() bool {
 	return len(e.Crashes)+len(e.Survived)+len(e.Alive) == 0
 }
 
@@ -126,145 +125,151 @@
 	at clock.Millis
 }
 
-// Tracker collects the evidence about one service. Create it with New; it is not safe for
-// concurrent use.
-type Tracker struct {
-	settings  Settings
-	open      map[string]*openRequest
-	crashes   []*crash
-	convicted map[string]bool
+// Detector collects the observations about one service. Create it with New; it is not safe
+// for concurrent use.
+type Detector struct {
+	settings Settings
+	open     map[string]*openRequest
+	crashes  []*crash
+	poisoned map[string]bool
 	// survivors maps the segments of prompts that survived to when they last did.
 	survivors map[string]clock.Millis
-	// news is the evidence since the last call of TakeEvidence.
-	news Evidence
+	// prunedAt is when expired requests and survivors were last dropped.
+	prunedAt clock.Millis
+	// unsent are the observations since the last call of TakeObservations.
+	unsent Observations
 }
 
-// New returns a Tracker without evidence.
-func New(s Settings) *Tracker {
-	return &Tracker{settings: s, open: map[string]*openRequest{}, convicted: map[string]bool{}, survivors: map[string]clock.Millis{}}
+// New returns a Detector without observations.
+func New(s Settings) *Detector {
+	return &Detector{settings: s, open: map[string]*openRequest{}, poisoned: map[string]bool{}, survivors: map[string]clock.Millis{}}
 }
 
 // Granted records that a request is sent to its server.
-func (t *Tracker) Granted(now clock.Millis, r Request) {
-	if len(t.open) >= t.settings.MaxOpen {
-		t.dropExpired(now)
-	}
-	if len(t.open) < t.settings.MaxOpen && len(r.Segments) > 0 {
-		t.open[r.ID] = &openRequest{Request: r, grantedAt: now}
+func (d *Detector) Granted(now clock.Millis, r Request) {
+	d.prune(now)
+	if len(d.open) < d.settings.MaxOpen && len(r.Segments) > 0 {
+		d.open[r.ID] = &openRequest{Request: r}
 	}
 }
 
-// dropExpired drops the requests whose hosts never reported their end.
-func (t *Tracker) dropExpired(now clock.Millis) {
-	for id, r := range t.open {
+// prunePeriod is the time between two calls of prune that do something, in milliseconds.
+const prunePeriod = 10 * clock.Second
+
+// prune drops the requests whose hosts never reported their end, and survivors that no
+// longer count.
+func (d *Detector) prune(now clock.Millis) {
+	if now < d.prunedAt+prunePeriod {
+		return
+	}
+	d.prunedAt = now
+	for id, r := range d.open {
 		if now > r.Until {
-			delete(t.open, id)
+			delete(d.open, id)
+		}
+	}
+	for name, at := range d.survivors {
+		if now > at+d.settings.Window {
+			delete(d.survivors, name)
 		}
 	}
 }
 
 // Started records the first event of a request.
-func (t *Tracker) Started(now clock.Millis, id string) {
-	r := t.open[id]
+func (d *Detector) Started(now clock.Millis, id string) {
+	r := d.open[id]
 	if r == nil || r.startedAt != 0 {
 		return
 	}
 	r.startedAt = now
-	t.answered(now, r.Server)
+	d.answered(now, r.Server)
 }
 
 // answered withdraws the crash of a server that answers after it.
-func (t *Tracker) answered(now clock.Millis, server string) {
-	for _, k := range t.crashes {
-		if k.Server == server && now > k.at+t.settings.SettleTime && now <= k.at+t.settings.ReportTime {
-			t.withdraw(now, server)
-			t.news.Alive = append(t.news.Alive, server)
+func (d *Detector) answered(now clock.Millis, server string) {
+	for _, k := range d.crashes {
+		if k.Server == server && now > k.at+d.settings.SettleTime && now <= k.at+d.settings.ReportTime {
+			d.withdraw(now, server)
+			d.unsent.Alive = append(d.unsent.Alive, server)
 			return
 		}
 	}
 }
 
 // withdraw removes the last crash of a server.
-func (t *Tracker) withdraw(now clock.Millis, server string) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(k *crash) bool {
-		return k.Server == server && now <= k.at+2*t.settings.ReportTime
+func (d *Detector) withdraw(now clock.Millis, server string) {
+	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool {
+		return k.Server == server && now <= k.at+2*d.settings.ReportTime
 	})
 }
 
 // Ended records how a request ended. It reports whether the request is a suspect of a
-// crash, so that Convict is due after SettleTime.
-func (t *Tracker) Ended(now clock.Millis, id string, o place.Outcome) bool {
-	r := t.open[id]
+// crash, so that Detect is due after SettleTime.
+func (d *Detector) Ended(now clock.Millis, id string, o place.Outcome) bool {
+	r := d.open[id]
 	if r == nil {
 		return false
 	}
-	delete(t.open, id)
+	delete(d.open, id)
 	if o == place.OutcomeServed {
-		t.answered(now, r.Server)
-		t.clear(now, r.Segments)
+		d.answered(now, r.Server)
+		d.clear(now, r.Segments)
 		return false
 	}
-	if t.survives(now, r) {
+	if d.survives(now, r) {
 		return false
 	}
 	if o != place.OutcomeBroken {
 		return false
 	}
-	t.addCrash(now, Crash{Server: r.Server, Suspects: [][]string{r.Segments}})
-	t.news.Crashes = append(t.news.Crashes, Crash{Server: r.Server, Suspects: [][]string{r.Segments}})
+	d.addCrash(now, Crash{Server: r.Server, Suspects: [][]string{r.Segments}})
+	d.unsent.Crashes = append(d.unsent.Crashes, Crash{Server: r.Server, Suspects: [][]string{r.Segments}})
 	return true
 }
 
 // survives clears the segments of a request whose answer has gone on for long enough.
-func (t *Tracker) survives(now clock.Millis, r *openRequest) bool {
-	if r.startedAt == 0 || now < r.startedAt+t.settings.SurviveTime {
+func (d *Detector) survives(now clock.Millis, r *openRequest) bool {
+	if r.startedAt == 0 || now < r.startedAt+d.settings.SurviveTime {
 		return false
 	}
 	if !r.survived {
 		r.survived = true
-		t.clear(now, r.Segments)
+		d.clear(now, r.Segments)
 	}
 	return true
 }
 
 // clear withdraws the suspicion against segments.
-func (t *Tracker) clear(now clock.Millis, segments []string) {
+func (d *Detector) clear(now clock.Millis, segments []string) {
 	for _, name := range segments {
-		t.addSurvivor(now, name)
-		if t.unsuspect(name) {
-			t.news.Survived = append(t.news.Survived, name)
+		d.addSurvivor(now, name)
+		if d.unsuspect(name) {
+			d.unsent.Survived = append(d.unsent.Survived, name)
 		}
 	}
 }
 
-func (t *Tracker) addSurvivor(now clock.Millis, name string) {
-	if len(t.survivors) >= t.settings.MaxOpen {
-		for old, at := range t.survivors {
-			if now > at+t.settings.Window {
-				delete(t.survivors, old)
-			}
-		}
-	}
-	if len(t.survivors) < t.settings.MaxOpen {
-		t.survivors[name] = now
+func (d *Detector) addSurvivor(now clock.Millis, name string) {
+	if _, ok := d.survivors[name]; ok || len(d.survivors) < d.settings.MaxOpen {
+		d.survivors[name] = now
 	}
 }
 
-// threshold returns the number of crashes that convict a segment.
-func (t *Tracker) threshold(now clock.Millis, name string) int {
-	if at, ok := t.survivors[name]; ok && now <= at+t.settings.Window {
-		return t.settings.SurvivorThreshold
+// threshold returns the number of crashes after which a segment counts as poisoned.
+func (d *Detector) threshold(now clock.Millis, name string) int {
+	if at, ok := d.survivors[name]; ok && now <= at+d.settings.Window {
+		return d.settings.SurvivorThreshold
 	}
-	return t.settings.Threshold
+	return d.settings.Threshold
 }
 
-// unsuspect removes a segment from the suspects of all crashes, unless it was convicted.
-func (t *Tracker) unsuspect(name string) bool {
+// unsuspect removes a segment from the suspects of all crashes, unless it was poisoned.
+func (d *Detector) unsuspect(name string) bool {
 	found := false
-	if t.convicted[name] {
+	if d.poisoned[name] {
 		return false
 	}
-	for _, k := range t.crashes {
+	for _, k := range d.crashes {
 		for i, s := range k.Suspects {
 			if slices.Contains(s, name) {
 				found = true
@@ -276,62 +281,63 @@
 }
 
 // addCrash adds suspects to the crash of a server, which may be known.
-func (t *Tracker) addCrash(now clock.Millis, added Crash) {
-	for _, k := range t.crashes {
-		if k.Server == added.Server && now <= k.at+t.settings.ReportTime {
+func (d *Detector) addCrash(now clock.Millis, added Crash) {
+	for _, k := range d.crashes {
+		if k.Server == added.Server && now <= k.at+d.settings.ReportTime {
 			k.Suspects = append(k.Suspects, added.Suspects...)
 			return
 		}
 	}
-	if len(t.crashes) >= t.settings.MaxCrashes {
-		t.crashes = t.crashes[1:]
+	if len(d.crashes) >= d.settings.MaxCrashes {
+		d.crashes = d.crashes[1:]
 	}
-	t.crashes = append(t.crashes, &crash{Crash: Crash{Server: added.Server, Suspects: slices.Clone(added.Suspects)}, at: now})
+	d.crashes = append(d.crashes, &crash{Crash: Crash{Server: added.Server, Suspects: slices.Clone(added.Suspects)}, at: now})
 }
 
-// TakeEvidence returns the evidence since the last call, without what Add added.
-func (t *Tracker) TakeEvidence() Evidence {
-	news := t.news
-	t.news = Evidence{}
-	return news
+// TakeObservations returns the observations since the last call, without what Add added.
+func (d *Detector) TakeObservations() Observations {
+	unsent := d.unsent
+	d.unsent = Observations{}
+	return unsent
 }
 
-// Add adds evidence from another host.
-func (t *Tracker) Add(now clock.Millis, e Evidence) {
+// Add adds observations from another host.
+func (d *Detector) Add(now clock.Millis, e Observations) {
 	for _, k := range e.Crashes {
-		t.addCrash(now, k)
+		d.addCrash(now, k)
 	}
 	for _, name := range e.Survived {
-		t.addSurvivor(now, name)
-		t.unsuspect(name)
+		d.addSurvivor(now, name)
+		d.unsuspect(name)
 	}
 	for _, server := range e.Alive {
-		t.withdraw(now, server)
+		d.withdraw(now, server)
 	}
 }
 
-// SetConvicted records a segment that another host has convicted.
-func (t *Tracker) SetConvicted(segment string) { t.convicted[segment] = true }
+// SetPoisoned records a segment that another host has poisoned.
+func (d *Detector) SetPoisoned(segment string) { d.poisoned[segment] = true }
 
-// Forget withdraws a conviction.
-func (t *Tracker) Forget(segment string) {
-	delete(t.convicted, segment)
-	t.unsuspect(segment)
+// Forget takes a segment off the poisoned ones.
+func (d *Detector) Forget(segment string) {
+	delete(d.poisoned, segment)
+	d.unsuspect(segment)
 }
 
-// Convict returns the segments that the evidence convicts now.
-func (t *Tracker) Convict(now clock.Millis) []string {
-	t.crashes = slices.DeleteFunc(t.crashes, func(k *crash) bool { return now > k.at+t.settings.Window })
-	for _, r := range t.open {
-		t.survives(now, r)
+// Detect returns the segments that the observations show to be poisoned, and that were not
+// known yet.
+func (d *Detector) Detect(now clock.Millis) []string {
+	d.crashes = slices.DeleteFunc(d.crashes, func(k *crash) bool { return now > k.at+d.settings.Window })
+	for _, r := range d.open {
+		d.survives(now, r)
 	}
 	var all []string
 	for {
-		name, ok := t.convictOne(now)
+		name, ok := d.detectOne(now)
 		if !ok {
 			return all
 		}
-		t.convicted[name] = true
+		d.poisoned[name] = true
 		all = append(all, name)
 	}
 }
@@ -347,35 +353,35 @@
 	position int
 }
 
-// convictOne returns the segment that explains most of the unexplained crashes, if that
-// is enough to convict it.
-func (t *Tracker) convictOne(now clock.Millis) (string, bool) {
+// detectOne returns the segment that explains most of the unexplained crashes, if that
+// is enough for one.
+func (d *Detector) detectOne(now clock.Millis) (string, bool) {
 	var unexplained []*crash
-	for _, k := range t.crashes {
-		if now >= k.at+t.settings.SettleTime && !t.explained(k) {
+	for _, k := range d.crashes {
+		if now >= k.at+d.settings.SettleTime && !d.explained(k) {
 			unexplained = append(unexplained, k)
 		}
 	}
-	ranked := slices.DeleteFunc(t.rank(unexplained), func(c *candidate) bool {
-		return c.episodes < t.threshold(now, c.name)
+	ranked := slices.DeleteFunc(d.rank(unexplained), func(c *candidate) bool {
+		return c.episodes < d.threshold(now, c.name)
 	})
 	if len(ranked) == 0 {
 		return "", false
 	}
 	best := ranked[0]
 	for _, other := range ranked[1:] {
-		if other.episodes == best.episodes && best.episodes < t.settings.TieThreshold && !alwaysWith(unexplained, best.name, other.name) {
+		if other.episodes == best.episodes && best.episodes < d.settings.TieThreshold && !alwaysWith(unexplained, best.name, other.name) {
 			return "", false
 		}
 	}
 	return best.name, true
 }
 
-// explained reports whether a convicted segment is among the suspects of a crash.
-func (t *Tracker) explained(k *crash) bool {
+// explained reports whether a poisoned segment is among the suspects of a crash.
+func (d *Detector) explained(k *crash) bool {
 	for _, s := range k.Suspects {
 		for _, name := range s {
-			if t.convicted[name] {
+			if d.poisoned[name] {
 				return true
 			}
 		}
@@ -385,7 +391,7 @@
 
 // rank returns the segments of all suspects, those of most crashes first, and the one of
 // fewest suspects first among these.
-func (t *Tracker) rank(crashes []*crash) []*candidate {
+func (d *Detector) rank(crashes []*crash) []*candidate {
 	byName := map[string]*candidate{}
 	var ranked []*candidate
 	for _, k := range crashes {
@@ -397,7 +403,7 @@
 					byName[name] = c
 					ranked = append(ranked, c)
 				}
-				if k.at >= c.lastAt+t.settings.EpisodeGap {
+				if k.at >= c.lastAt+d.settings.EpisodeGap {
 					c.episodes, c.lastAt = c.episodes+1, k.at
 				}
 				c.suspects, c.position = c.suspects+1, i
--- a/internal/policy/poison/poison_test.go
+++ b/internal/policy/poison/poison_test.go
@@ -15,7 +15,7 @@
 // simulation sends prompts to servers, each of which crashes on the segment "poison" and
 // is then a new incarnation.
 type simulation struct {
-	tracker  *Tracker
+	detector *Detector
 	now      clock.Millis
 	sent     int
 	restarts int
@@ -24,13 +24,13 @@
 }
 
 func newSimulation() *simulation {
-	return &simulation{tracker: New(Defaults()), open: map[string][]string{}}
+	return &simulation{detector: New(Defaults()), open: map[string][]string{}}
 }
 
 func (s *simulation) send(server string, segments ...string) string {
 	s.sent++
 	id := fmt.Sprint("r", s.sent)
-	s.tracker.Granted(s.now, Request{ID: id, Server: server, Segments: segments, Until: s.now + 10*clock.Second})
+	s.detector.Granted(s.now, Request{ID: id, Server: server, Segments: segments, Until: s.now + 10*clock.Second})
 	s.open[server] = append(s.open[server], id)
 	return id
 }
@@ -38,29 +38,29 @@
 // crash breaks all requests at a server.
 func (s *simulation) crash(server string) {
 	for _, id := range s.open[server] {
-		s.tracker.Ended(s.now, id, place.OutcomeBroken)
+		s.detector.Ended(s.now, id, place.OutcomeBroken)
 	}
 	delete(s.open, server)
 }
 
 func (s *simulation) serve(server string, segments ...string) {
 	id := s.send(server, segments...)
-	s.tracker.Started(s.now, id)
-	s.tracker.Ended(s.now, id, place.OutcomeServed)
+	s.detector.Started(s.now, id)
+	s.detector.Ended(s.now, id, place.OutcomeServed)
 }
 
-// convict returns the convicted segments once all crashes are settled.
-func (s *simulation) convict() []string {
+// detect returns the poisoned segments once all crashes are settled.
+func (s *simulation) detect() []string {
 	s.now += Defaults().SettleTime
-	return s.tracker.Convict(s.now)
+	return s.detector.Detect(s.now)
 }
 
-func TestThirdCrashConvictsOnlyThePoisonedSegment(t *testing.T) {
+func TestThirdCrashShowsOnlyThePoisonedSegment(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation()
 	for i := range 3 {
 		server := fmt.Sprint("s", i)
-		c.Assert(s.convict(), qt.HasLen, 0)
+		c.Assert(s.detect(), qt.HasLen, 0)
 		s.send(server, "shared", fmt.Sprint("topic", i))
 		s.send(server, "shared", "poison")
 		s.crash(server)
@@ -69,7 +69,7 @@
 			s.serve("healthy", "shared", "another topic")
 		}
 	}
-	c.Assert(s.convict(), qt.DeepEquals, []string{"poison"})
+	c.Assert(s.detect(), qt.DeepEquals, []string{"poison"})
 	// Further crashes are explained by it.
 	for i := range 4 {
 		server := fmt.Sprint("later", i)
@@ -78,11 +78,11 @@
 		s.crash(server)
 		s.now += clock.Second
 	}
-	c.Assert(s.convict(), qt.HasLen, 0)
+	c.Assert(s.detect(), qt.HasLen, 0)
 }
 
 // All servers fail at one moment, three times, with prompts of the same segments.
-func TestMassCrashConvictsNothing(t *testing.T) {
+func TestMassCrashShowsNothing(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation()
 	for n := range 3 {
@@ -93,7 +93,7 @@
 			s.crash(fmt.Sprint("s", n, i))
 			s.now++
 		}
-		c.Assert(s.convict(), qt.HasLen, 0)
+		c.Assert(s.detect(), qt.HasLen, 0)
 		s.now += 10 * clock.Second
 		for i := range 3 {
 			s.serve("back", "shared", fmt.Sprint("topic", i))
@@ -103,7 +103,7 @@
 
 // Servers are replaced one after the other and cut off what they run, which has been
 // answered for a while or survives elsewhere.
-func TestReleaseConvictsNothing(t *testing.T) {
+func TestReleaseShowsNothing(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
 		s := newSimulation()
@@ -114,7 +114,7 @@
 			old := fmt.Sprint("old", n)
 			for range 4 {
 				id := s.send(old, fmt.Sprint("shared", random.IntN(4)), fmt.Sprint("topic", random.IntN(20)))
-				s.tracker.Started(s.now, id)
+				s.detector.Started(s.now, id)
 				s.now += 100
 			}
 			s.now += clock.Millis(random.IntN(1_000))
@@ -122,8 +122,8 @@
 				s.serve("new", fmt.Sprint("shared", i%4), fmt.Sprint("topic", random.IntN(20)))
 			}
 			s.crash(old)
-			if got := s.convict(); len(got) > 0 {
-				rt.Fatalf("convicted %v", got)
+			if got := s.detect(); len(got) > 0 {
+				rt.Fatalf("detected %v", got)
 			}
 		}
 	})
@@ -141,9 +141,9 @@
 		s.send(server, "only", "topic")
 		s.crash(server)
 		s.now += 600
-		s.tracker.Started(s.now, other)
+		s.detector.Started(s.now, other)
 		s.now += clock.Second
-		c.Assert(s.convict(), qt.HasLen, 0)
+		c.Assert(s.detect(), qt.HasLen, 0)
 	}
 }
 
@@ -157,13 +157,13 @@
 		s.now += 3 * clock.Second
 		s.serve("s", "sound")
 		if i < 2 {
-			c.Assert(s.convict(), qt.HasLen, 0)
+			c.Assert(s.detect(), qt.HasLen, 0)
 		}
 	}
-	c.Assert(s.convict(), qt.DeepEquals, []string{"poison"})
+	c.Assert(s.detect(), qt.DeepEquals, []string{"poison"})
 }
 
-func TestSegmentsThatAlwaysComeTogetherConvictTheLastOne(t *testing.T) {
+func TestLastOfSegmentsThatAlwaysComeTogetherIsTaken(t *testing.T) {
 	c := qt.New(t)
 	s := newSimulation()
 	for i := range 3 {
@@ -171,7 +171,7 @@
 		s.crash(fmt.Sprint("s", i))
 		s.now += clock.Second
 	}
-	c.Assert(s.convict(), qt.DeepEquals, []string{"second"})
+	c.Assert(s.detect(), qt.DeepEquals, []string{"second"})
 }
 
 // Two segments are in each of three crashes, in prompts of their own. The fourth tells
@@ -186,10 +186,10 @@
 		s.crash(server)
 		s.now += clock.Second
 	}
-	c.Assert(s.convict(), qt.HasLen, 0)
+	c.Assert(s.detect(), qt.HasLen, 0)
 	s.send("s3", "poison")
 	s.crash("s3")
-	c.Assert(s.convict(), qt.DeepEquals, []string{"poison"})
+	c.Assert(s.detect(), qt.DeepEquals, []string{"poison"})
 }
 
 func TestEvidenceOfTwoHostsCountsTogether(t *testing.T) {
@@ -200,20 +200,20 @@
 		from.send(fmt.Sprint("s", i), "shared", "poison")
 		from.crash(fmt.Sprint("s", i))
 		from.serve("healthy", "shared")
-		e := from.tracker.TakeEvidence()
+		e := from.detector.TakeObservations()
 		c.Assert(e.Survived, qt.DeepEquals, []string{"shared"})
 		to := []*simulation{b, a}[i%2]
-		to.tracker.Add(to.now, e)
+		to.detector.Add(to.now, e)
 		a.now += clock.Second
 		b.now = a.now
 	}
-	c.Assert(a.convict(), qt.DeepEquals, []string{"poison"})
-	c.Assert(b.convict(), qt.DeepEquals, []string{"poison"})
+	c.Assert(a.detect(), qt.DeepEquals, []string{"poison"})
+	c.Assert(b.detect(), qt.DeepEquals, []string{"poison"})
 }
 
-// Random prompts of which one segment crashes its server: it is convicted within five
-// crashes, and no segment beside it.
-func TestOnlyThePoisonedSegmentIsConvictedAmongRandomPrompts(t *testing.T) {
+// Random prompts of which one segment crashes its server: it is detected within five
+// crashes, and no other segment.
+func TestOnlyThePoisonedSegmentIsDetectedAmongRandomPrompts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		s := newSimulation()
@@ -231,19 +231,19 @@
 				s.crash(server)
 				s.open = map[string][]string{}
 			case random.IntN(10) == 0:
-				s.tracker.Started(s.now, s.send(server, first, second))
+				s.detector.Started(s.now, s.send(server, first, second))
 			default:
 				s.serve(server, first, second)
 			}
 			s.now += Defaults().SettleTime
-			for _, name := range s.tracker.Convict(s.now) {
+			for _, name := range s.detector.Detect(s.now) {
 				if name != "poison" || crashes > 5 {
-					rt.Fatalf("convicted %s after %d crashes", name, crashes)
+					rt.Fatalf("detected %s after %d crashes", name, crashes)
 				}
 				return
 			}
 		}
-		rt.Fatalf("nothing was convicted in %d crashes", crashes)
+		rt.Fatalf("nothing was detected in %d crashes", crashes)
 	})
 }
 
@@ -259,9 +259,9 @@
 	}
 }
 
-// BenchmarkConvict is the evaluation of the most crashes that are kept, with four suspects
+// BenchmarkDetect is the evaluation of the most crashes that are kept, with four suspects
 // each and 2,000 open prompts.
-func BenchmarkConvict(b *testing.B) {
+func BenchmarkDetect(b *testing.B) {
 	s := newSimulation()
 	for i := range 2_000 {
 		s.send("busy", fmt.Sprint("first", i%20), fmt.Sprint("topic", i))
@@ -275,6 +275,6 @@
 		s.now += 100
 	}
 	for b.Loop() {
-		s.convict()
+		s.detect()
 	}
 }
--- a/internal/share/broker/active.go
+++ b/internal/share/broker/active.go
@@ -44,12 +44,12 @@
 	k.grantedAt = now
 	if k.toldAt == 0 || now >= k.toldAt+tellPeriod {
 		k.toldAt = now
-		go k.tell()
+		go k.announce()
 	}
 }
 
-// meet records another keeper and reports whether this host is one.
-func (k *poolKeeper) meet(name string) bool {
+// addOther records another keeper and reports whether this host is one.
+func (k *poolKeeper) addOther(name string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Boot()
@@ -57,8 +57,8 @@
 	return k.grantedAt != 0 && now <= k.grantedAt+activeTime
 }
 
-// tellActive tells the first hosts of the order that this one decides for a pool.
-func (b *Broker) tellActive(p pool) {
+// announce tells the first hosts of the order that this one decides for a pool.
+func (b *Broker) announce(p pool) {
 	if b.Link == nil {
 		return
 	}
@@ -79,7 +79,7 @@
 				b.Log.Debug("Telling a host that this one is a keeper failed.", "host", name, "err", err)
 			}
 			if active {
-				b.poolKeeper(p).meet(name)
+				b.poolKeeper(p).addOther(name)
 			}
 		}()
 	}
@@ -90,5 +90,5 @@
 	if err := link.Decode(body, &m); err != nil {
 		return nil, err
 	}
-	return b.poolKeeper(pool{m.Service, m.Pool}).meet(from.Name), nil
+	return b.poolKeeper(pool{m.Service, m.Pool}).addOther(from.Name), nil
 }
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -212,7 +212,7 @@
 	return up[:min(len(up), maxKeepers)]
 }
 
-// Analysts returns the hosts that collect evidence about a service: the keeper of its
+// Analysts returns the hosts that collect observations about a service: the keeper of its
 // first pool and the host that would replace it.
 func (b *Broker) Analysts(service string) []string { return b.keepers(pool{service: service}) }
 
@@ -360,7 +360,7 @@
 	now := b.Clock.Now()
 	m := reportMessage{Service: p.service, Pool: p.index, Cached: b.segments.all(p.service)}
 	if b.Guard != nil {
-		m.Quarantine = b.Guard.Verdicts(p.service)
+		m.Quarantine = b.Guard.Entries(p.service)
 	}
 	for _, r := range b.running {
 		if r.pool == p {
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -63,11 +63,11 @@
 	querySegments func(ctx context.Context, s fleet.Server) ([]place.Segment, error)
 	queried       map[string]bool
 	guard         *guard.Guard
-	// others are the other hosts that decide for this pool, by when they last said so. tell
-	// tells hosts that this one does. grantedAt is when it last granted a server with a
+	// others are the other hosts that decide for this pool, by when they last said so;
+	// announce tells hosts that this one does. grantedAt is when it last granted a server with a
 	// rate limit, and toldAt when it last told the others.
 	others    map[string]clock.Millis
-	tell      func()
+	announce  func()
 	grantedAt clock.Millis
 	toldAt    clock.Millis
 	// used is set at the first request. Servers are not queried before it.
@@ -87,7 +87,7 @@
 		querySegments: b.CachedSegments,
 		guard:         b.Guard,
 		others:        map[string]clock.Millis{},
-		tell:          func() { b.tellActive(p) },
+		announce:      func() { b.announce(p) },
 		queried:       map[string]bool{},
 	}
 }
--- a/internal/share/broker/poison_test.go
+++ b/internal/share/broker/poison_test.go
@@ -89,7 +89,7 @@
 			}
 			c.Assert(crashes <= 5, qt.IsTrue, qt.Commentf("%d crashes", crashes))
 			waitFor(c, func() bool { return g.quarantinedAt(alive) == len(alive) })
-			// A host that starts without the store hears of it from the first keeper.
+			// A host that starts without the store learns of it from its first keeper.
 			g.add("h6", 0)
 			g.setServers(incarnations)
 			alive = append(alive, "h6")
@@ -116,7 +116,7 @@
 	return left
 }
 
-// All hosts are killed after the conviction, which was made while the store was down.
+// All hosts are killed after the quarantine began, which was while the store was down.
 func TestRestartedHostsKnowTheQuarantine(t *testing.T) {
 	c := qt.New(t)
 	store := memdb.New(clock.System())
--- a/internal/share/broker/wire.go
+++ b/internal/share/broker/wire.go
@@ -49,7 +49,7 @@
 	Running []runningRequest
 	Cached  []grant.CachedSegments
 	// Quarantine holds the quarantined segments that the host knows of.
-	Quarantine []guard.Verdict
+	Quarantine []guard.Entry
 }
 
 // activeMessage tells a host that the sender decides for a pool with rate limits. The reply
--- a/internal/share/guard/guard.go
+++ b/internal/share/guard/guard.go
@@ -4,9 +4,9 @@
 // The host that decides where a prompt runs, its keeper or the prompt's own host, feeds
 // the events of the prompt to this package. What it finds out about a crash goes to the
 // analysts of the service too: the hosts that keep its first pool, now and next. So the
-// crashes in all pools count together, and the evidence survives a keeper. A host whose
-// evidence convicts a segment tells all hosts, retries those that cannot be reached, and
-// writes a record into the table of hosts, which each host reads at its start.
+// crashes in all pools count together, and the observations survive a keeper. A host whose
+// observations show a poisoned segment tells all hosts, retries those that cannot be
+// reached, and writes a record into the table of hosts, which each host reads at its start.
 //
 // # Usage
 //
@@ -45,13 +45,13 @@
 	maxQuarantined = 200
 )
 
-// Guard holds the evidence and the quarantine of all services. Its exported fields are
+// Guard holds the observations and the quarantine of all services. Its exported fields are
 // set before Register.
 type Guard struct {
 	Self string
 	// Members and Link are nil for a host without others.
 	Members func() []member.Member
-	// Analysts returns the hosts that collect the evidence about a service.
+	// Analysts returns the hosts that collect the observations about a service.
 	Analysts func(service string) []string
 	Link     *link.Node
 	// Commit writes to the store, nil for a host without one. Table is the table of
@@ -63,36 +63,36 @@
 	Count  *count.Set
 
 	mu         sync.Mutex
-	trackers   map[string]*poison.Tracker
+	detectors  map[string]*poison.Detector
 	quarantine map[string]map[string]clock.Millis // by service and segment: the end by Clock.Boot
 	settling   map[string]bool
 	// expired are the keys of records whose quarantine has ended.
 	expired map[string]bool
-	// pending are the verdicts that Run has yet to share.
-	pending chan Verdict
+	// pending are the entries that Run has yet to share.
+	pending chan Entry
 }
 
 // Register installs the handlers for messages of other hosts. It is called before the
 // link runs.
 func (g *Guard) Register() {
-	g.trackers = map[string]*poison.Tracker{}
+	g.detectors = map[string]*poison.Detector{}
 	g.quarantine = map[string]map[string]clock.Millis{}
 	g.settling = map[string]bool{}
 	g.expired = map[string]bool{}
-	g.pending = make(chan Verdict, maxQuarantined)
+	g.pending = make(chan Entry, maxQuarantined)
 	if g.Link != nil {
-		g.Link.Handle(kindEvidence, g.handleEvidence)
-		g.Link.Handle(kindVerdict, g.handleVerdict)
+		g.Link.Handle(kindObservations, g.handleObservations)
+		g.Link.Handle(kindQuarantine, g.handleQuarantine)
 		g.Link.Handle(kindList, g.handleList)
 	}
 }
 
-// tracker returns the tracker of a service. The caller holds the lock.
-func (g *Guard) tracker(service string) *poison.Tracker {
-	t := g.trackers[service]
+// detector returns the detector of a service. The caller holds the lock.
+func (g *Guard) detector(service string) *poison.Detector {
+	t := g.detectors[service]
 	if t == nil {
 		t = poison.New(poison.Defaults())
-		g.trackers[service] = t
+		g.detectors[service] = t
 	}
 	return t
 }
@@ -114,7 +114,7 @@
 		}
 		if ok {
 			delete(all, s.Name)
-			g.tracker(service).Forget(s.Name)
+			g.detector(service).Forget(s.Name)
 		}
 	}
 	return "", 0
@@ -131,7 +131,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	g.tracker(service).Granted(now, poison.Request{ID: id, Server: incarnation(server), Segments: names, Until: now + timeLeft})
+	g.detector(service).Granted(now, poison.Request{ID: id, Server: incarnation(server), Segments: names, Until: now + timeLeft})
 }
 
 // incarnation names a server between two of its starts.
@@ -142,27 +142,27 @@
 // Started records the first event of a prompt's answer.
 func (g *Guard) Started(service, id string) {
 	g.mu.Lock()
-	t := g.tracker(service)
+	t := g.detector(service)
 	t.Started(g.Clock.Now(), id)
-	e := t.TakeEvidence()
+	e := t.TakeObservations()
 	g.mu.Unlock()
-	g.shareEvidence(service, e)
+	g.shareObservations(service, e)
 }
 
 // Ended records how a prompt ended at its server.
 func (g *Guard) Ended(service, id string, o place.Outcome) {
 	g.mu.Lock()
-	t := g.tracker(service)
+	t := g.detector(service)
 	suspect := t.Ended(g.Clock.Now(), id, o)
-	e := t.TakeEvidence()
+	e := t.TakeObservations()
 	g.mu.Unlock()
-	g.shareEvidence(service, e)
+	g.shareObservations(service, e)
 	if suspect {
 		g.settle(service)
 	}
 }
 
-// settle convicts segments once the suspects of a crash are known.
+// settle detects poisoned segments once the suspects of a crash are known.
 func (g *Guard) settle(service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,26 +173,27 @@
 	go func() {
 		// One tick more, since a crash is settled only after the whole time.
 		<-g.Clock.After(poison.Defaults().SettleTime + 1)
-		g.convict(service)
+		g.detect(service)
 	}()
 }
 
-// convict quarantines the segments that the evidence convicts and shares them.
-func (g *Guard) convict(service string) {
+// detect quarantines the segments that the observations show to be poisoned, and shares
+// them.
+func (g *Guard) detect(service string) {
 	g.mu.Lock()
 	g.settling[service] = false
-	t := g.tracker(service)
-	var verdicts []Verdict
-	for _, name := range t.Convict(g.Clock.Now()) {
+	t := g.detector(service)
+	var entries []Entry
+	for _, name := range t.Detect(g.Clock.Now()) {
 		g.Log.Warn("A prompt segment is quarantined: prompts with it crash servers.", "service", service, "segment", name, "for", quarantineTime)
-		v := Verdict{Service: service, Segment: name, Left: quarantineTime}
+		v := Entry{Service: service, Segment: name, Left: quarantineTime}
 		g.add(v)
-		verdicts = append(verdicts, v)
+		entries = append(entries, v)
 	}
-	e := t.TakeEvidence()
+	e := t.TakeObservations()
 	g.mu.Unlock()
-	g.shareEvidence(service, e)
-	for _, v := range verdicts {
+	g.shareObservations(service, e)
+	for _, v := range entries {
 		select {
 		case g.pending <- v:
 		default:
@@ -202,7 +203,7 @@
 }
 
 // add quarantines a segment, and reports whether it was not. The caller holds the lock.
-func (g *Guard) add(v Verdict) bool {
+func (g *Guard) add(v Entry) bool {
 	all := g.quarantine[v.Service]
 	if all == nil {
 		all = map[string]clock.Millis{}
@@ -211,7 +212,7 @@
 	until := g.Clock.Boot() + min(v.Left, quarantineTime)
 	old, known := all[v.Segment]
 	all[v.Segment] = max(until, old)
-	g.tracker(v.Service).SetConvicted(v.Segment)
+	g.detector(v.Service).SetPoisoned(v.Segment)
 	for len(all) > maxQuarantined {
 		first := ""
 		for name, end := range all {
@@ -220,32 +221,32 @@
 			}
 		}
 		delete(all, first)
-		g.tracker(v.Service).Forget(first)
+		g.detector(v.Service).Forget(first)
 	}
 	g.updateGauge()
 	return !known
 }
 
 // Adopt quarantines the segments that another host or the store knows of.
-func (g *Guard) Adopt(verdicts []Verdict) {
+func (g *Guard) Adopt(entries []Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, v := range verdicts {
+	for _, v := range entries {
 		if v.Left > 0 && g.add(v) {
 			g.Log.Warn("A prompt segment is quarantined by another host.", "service", v.Service, "segment", v.Segment, "for", v.Left)
 		}
 	}
 }
 
-// Verdicts returns the quarantined segments of a service.
-func (g *Guard) Verdicts(service string) []Verdict {
+// Entries returns the quarantined segments of a service.
+func (g *Guard) Entries(service string) []Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Boot()
-	var all []Verdict
+	var all []Entry
 	for name, until := range g.quarantine[service] {
 		if until > now {
-			all = append(all, Verdict{Service: service, Segment: name, Left: until - now})
+			all = append(all, Entry{Service: service, Segment: name, Left: until - now})
 		}
 	}
 	return all
--- a/internal/share/guard/spread.go
+++ b/internal/share/guard/spread.go
@@ -18,21 +18,21 @@
 
 // The kinds of messages between hosts.
 const (
-	kindEvidence = "CrashEvidence"
-	kindVerdict  = "Quarantine"
-	kindList     = "QuarantineList"
+	kindObservations = "CrashEvidence"
+	kindQuarantine   = "Quarantine"
+	kindList         = "QuarantineList"
 )
 
-// Verdict is a quarantined segment. Left is the rest of its quarantine in milliseconds.
-type Verdict struct {
+// Entry is a quarantined segment. Left is the rest of its quarantine in milliseconds.
+type Entry struct {
 	Service string
 	Segment string
 	Left    clock.Millis
 }
 
-type evidenceMessage struct {
-	Service  string
-	Evidence poison.Evidence
+type observationsMessage struct {
+	Service      string
+	Observations poison.Observations
 }
 
 // rowKeyPrefix begins the keys of the records of quarantined segments.
@@ -65,8 +65,8 @@
 	maxSharing = 8
 )
 
-// shareEvidence sends evidence to the analysts of a service.
-func (g *Guard) shareEvidence(service string, e poison.Evidence) {
+// shareObservations sends observations to the analysts of a service.
+func (g *Guard) shareObservations(service string, e poison.Observations) {
 	if e.Empty() || g.Link == nil || g.Analysts == nil {
 		return
 	}
@@ -74,8 +74,8 @@
 		if name == g.Self {
 			continue
 		}
-		if err := g.Link.Send(name, kindEvidence, evidenceMessage{Service: service, Evidence: e}); err != nil {
-			g.Log.Debug("Sending the evidence of a crash failed.", "host", name, "err", err)
+		if err := g.Link.Send(name, kindObservations, observationsMessage{Service: service, Observations: e}); err != nil {
+			g.Log.Debug("Sending the observations of a crash failed.", "host", name, "err", err)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 func (g *Guard) Ask(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout.Duration())
 	defer cancel()
-	var all []Verdict
+	var all []Entry
 	if err := g.Link.Call(ctx, name, kindList, nil, &all); err != nil {
 		g.Log.Debug("Asking a host for its quarantines failed.", "host", name, "err", err)
 		return
@@ -98,29 +98,29 @@
 	g.mu.Lock()
 	services := slices.Collect(maps.Keys(g.quarantine))
 	g.mu.Unlock()
-	all := []Verdict{}
+	all := []Entry{}
 	for _, service := range services {
-		all = append(all, g.Verdicts(service)...)
+		all = append(all, g.Entries(service)...)
 	}
 	return all, nil
 }
 
-func (g *Guard) handleEvidence(_ context.Context, _ link.Peer, body []byte) (any, error) {
-	var m evidenceMessage
+func (g *Guard) handleObservations(_ context.Context, _ link.Peer, body []byte) (any, error) {
+	var m observationsMessage
 	if err := link.Decode(body, &m); err != nil {
 		return nil, err
 	}
 	g.mu.Lock()
-	g.tracker(m.Service).Add(g.Clock.Now(), m.Evidence)
+	g.detector(m.Service).Add(g.Clock.Now(), m.Observations)
 	g.mu.Unlock()
-	if len(m.Evidence.Crashes) > 0 {
+	if len(m.Observations.Crashes) > 0 {
 		g.settle(m.Service)
 	}
 	return nil, nil
 }
 
-func (g *Guard) handleVerdict(_ context.Context, _ link.Peer, body []byte) (any, error) {
-	var all []Verdict
+func (g *Guard) handleQuarantine(_ context.Context, _ link.Peer, body []byte) (any, error) {
+	var all []Entry
 	if err := link.Decode(body, &all); err != nil {
 		return nil, err
 	}
@@ -128,7 +128,7 @@
 	return true, nil
 }
 
-// Run shares the verdicts of this host until the context ends.
+// Run shares the entries of this host until the context ends.
 func (g *Guard) Run(ctx context.Context) {
 	for {
 		select {
@@ -141,8 +141,8 @@
 	}
 }
 
-// tellAll tells all hosts of a verdict, and those again that did not confirm it.
-func (g *Guard) tellAll(ctx context.Context, v Verdict) {
+// tellAll tells all hosts of a entry, and those again that did not confirm it.
+func (g *Guard) tellAll(ctx context.Context, v Entry) {
 	if g.Link == nil || g.Members == nil {
 		return
 	}
@@ -166,8 +166,8 @@
 	}
 }
 
-// tell tells hosts of a verdict and returns those that confirmed it.
-func (g *Guard) tell(ctx context.Context, hosts []string, v Verdict) []string {
+// tell tells hosts of a entry and returns those that confirmed it.
+func (g *Guard) tell(ctx context.Context, hosts []string, v Entry) []string {
 	var mu sync.Mutex
 	var confirmed []string
 	var all sync.WaitGroup
@@ -179,7 +179,7 @@
 			callCtx, cancel := context.WithTimeout(ctx, shareTimeout.Duration())
 			defer cancel()
 			var ok bool
-			if err := g.Link.Call(callCtx, name, kindVerdict, []Verdict{v}, &ok); err != nil {
+			if err := g.Link.Call(callCtx, name, kindQuarantine, []Entry{v}, &ok); err != nil {
 				g.Log.Debug("Telling a host of a quarantine failed; retrying.", "host", name, "err", err)
 				return
 			}
@@ -192,8 +192,8 @@
 	return confirmed
 }
 
-// store writes the record of a verdict, and retries until the quarantine has ended.
-func (g *Guard) store(ctx context.Context, v Verdict) {
+// store writes the record of a entry, and retries until the quarantine has ended.
+func (g *Guard) store(ctx context.Context, v Entry) {
 	key := rowKeyPrefix + v.Service + "/" + v.Segment
 	if g.Commit == nil || len(key) > maxRowKeyBytes {
 		return
@@ -257,6 +257,6 @@
 		g.mu.Unlock()
 		return nil
 	}
-	g.Adopt([]Verdict{{Service: stored.Service, Segment: stored.Segment, Left: left}})
+	g.Adopt([]Entry{{Service: stored.Service, Segment: stored.Segment, Left: left}})
 	return nil
 }
