A call to a paused host fails within 0.3 s on a new connection too

Two keepers were paused. A call to the first failed after 0.2 s, as it should; the connection to the second was new, its machine accepted it, and the handshake waited for 2.0 s (22.09 and 24.14 s in the log: "i/o timeout: peer is unreachable"), whatever the request's tier.

The dialer's handshake now has three times DialTimeout, 0.3 s at hosts of the platform. TestCallToPausedPeerFailsSoon: 2.0 s on the code before, where 0.5 s are allowed.

--- a/internal/share/link/handshake.go
+++ b/internal/share/link/handshake.go
@@ -92,9 +92,15 @@
 	return nonce
 }
 
+// maxHandshakeDials times DialTimeout is the timeout of the dialer's handshake, if that is
+// shorter than HandshakeTimeout: calls wait for it, and a paused peer's machine accepts
+// connections. A handshake takes two round trips, a dial one.
+const maxHandshakeDials = 3
+
 // dialHandshake performs the dialer's side of the handshake.
 func (n *Node) dialHandshake(s *stream, to string) (Peer, error) {
-	_ = s.conn.SetDeadline(time.Now().Add(n.HandshakeTimeout.Duration()))
+	timeout := min(n.HandshakeTimeout, maxHandshakeDials*n.DialTimeout)
+	_ = s.conn.SetDeadline(time.Now().Add(timeout.Duration()))
 	h := hello{From: n.Name, To: to, Incarnation: n.Incarnation, Nonce: newNonce()}
 	if err := s.writeMessage(&h); err != nil {
 		return Peer{}, err
--- a/internal/share/link/link_test.go
+++ b/internal/share/link/link_test.go
@@ -260,3 +260,18 @@
 		c.Fatal("the handler still waits")
 	}
 }
+
+// A paused peer's machine accepts the connection, and nothing answers on it.
+func TestCallToPausedPeerFailsSoon(t *testing.T) {
+	c := qt.New(t)
+	const dialTimeout = 100 * clock.Millis(1)
+	paused, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = paused.Close() }()
+	address := paused.Addr().String()
+	n := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: resolveTo(&address), DialTimeout: dialTimeout}, nil)
+	began := time.Now()
+	_, err = echo(n, "b")
+	c.Assert(errors.Is(err, ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(clock.FromDuration(time.Since(began)) < 5*dialTimeout, qt.IsTrue, qt.Commentf("failed after %v", time.Since(began)))
+}
