--- a/internal/tools/soak/poison.go
+++ b/internal/tools/soak/poison.go
@@ -29,12 +29,14 @@
 	hn.mu.Lock()
 	segment := fmt.Sprintf("poison-%d-%d", f.At, len(hn.poisons))
 	hn.poisons = append(slices.Clone(hn.poisons), segment)
-	for _, s := range hn.servers {
+	servers, poisons := hn.servers, hn.poisons
+	hn.mu.Unlock()
+	// Without the lock, which the servers take for each request.
+	for _, s := range servers {
 		if s.service == serviceEngine {
-			s.SetCrashSegments(hn.poisons...)
+			s.SetCrashSegments(poisons...)
 		}
 	}
-	hn.mu.Unlock()
 	hn.sendPoison(segment)
 	return nil
 }
