A limited server gets its share of calls beside idle servers

Cause: Core.best took the first of several candidates of equal cost, and the candidates are in the order of their hash. With calls that come one after the other all servers are idle, so the first by hash got each call. The test's callers start together; where the machine keeps them together, the first servers still run calls when the last one of a round arrives, which hid the fault. Ruled out: a backoff (no call failed), the bucket (it held a token nearly all the time, since 3 of 8 were taken).

The fix: calls go to candidates of equal cost in turn, the one first that got none for the longest. A limited server with a token is nearly always that one. Prompts keep the order by hash, so that the same prefix finds the same server. Cost, urgency and buckets decide as before.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -226,6 +226,8 @@
 	granted       map[string]*grantedRequest
 	classes       map[string]*class
 	prefillRate   float64
+	// calls is the number of granted calls without prompts.
+	calls int
 	// keepers is the number of hosts that decide for the same servers, 0 for one.
 	keepers int
 	// segments are those that servers have cached or that requests contain.
--- a/internal/policy/grant/limit_test.go
+++ b/internal/policy/grant/limit_test.go
@@ -79,6 +79,38 @@
 	})
 }
 
+// Calls arrive one after the other, so that all servers are idle at each.
+func TestLimitedServerGetsItsShareBesideIdleServers(t *testing.T) {
+	const (
+		servers  = 3
+		rate     = 2
+		duration = 20 * clock.Second
+		interval = 12
+	)
+	for limited := range servers {
+		t.Run(fmt.Sprint("s", limited), func(t *testing.T) {
+			c := qt.New(t)
+			core := New(Defaults())
+			var all []fleet.Server
+			for i := range servers {
+				all = append(all, fleet.Server{ID: fmt.Sprint("s", i), Slots: 64})
+			}
+			core.SetServers(all)
+			core.SetLimit(1, Limit{Server: fmt.Sprint("s", limited), Rate: rate})
+			granted := map[string]int{}
+			for now := clock.Millis(1); now < duration; now += interval {
+				core.Enqueue(now, Request{ID: fmt.Sprint(now), Class: "c", Target: 300, TimeLeft: 2_000, Plain: true})
+				for _, d := range core.Next(now) {
+					granted[d.Server]++
+					core.Ended(now+interval/2, d.ID, place.OutcomeServed)
+				}
+			}
+			c.Assert(granted[""], qt.Equals, 0)
+			c.Assert(granted[fmt.Sprint("s", limited)] >= int(duration/clock.Second)*rate/2, qt.IsTrue, qt.Commentf("%v", granted))
+		})
+	}
+}
+
 func TestLimitedServersServeUrgentRequestsFirst(t *testing.T) {
 	c := qt.New(t)
 	const rate = 2
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -262,6 +262,10 @@
 	if best.server.bucket != nil {
 		best.server.bucket.Take(now)
 	}
+	if q.Plain {
+		c.calls++
+		best.server.lastCall = c.calls
+	}
 	best.server.updateStartDelay(now)
 	c.class(q.Class).addWork(now, g.prefill)
 	return d, true
@@ -302,7 +306,8 @@
 	return "LeastUnread"
 }
 
-// best returns the two candidates with the least cost.
+// best returns the two candidates with the least cost. Calls go to servers of equal cost
+// in turn; prompts go to the first by hash, so that it is the same for each prompt.
 func (c *Core) best(q *queuedRequest, usable []*server, shortCount int) (best, next candidate, found bool) {
 	short := c.short(c.class(q.Class))
 	var o candidate
@@ -320,7 +325,7 @@
 		switch {
 		case !found:
 			best, found = o, true
-		case o.cost < best.cost:
+		case o.cost < best.cost || (q.Plain && o.cost == best.cost && o.server.lastCall < best.server.lastCall):
 			best, next = o, best
 		case next.server == nil || o.cost < next.cost:
 			next = o
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -45,7 +45,9 @@
 	// Both are valid during one round of decisions.
 	limitWait       clock.Millis
 	plannedRequests int
-	removed         bool
+	// lastCall is the number of the call without a prompt that the server got last.
+	lastCall int
+	removed  bool
 	// lastEventHost is the host that last received an event from the server, at
 	// lastEventAt.
 	lastEventHost string
