A queued frame goes to the probe's connection, not to the silent one

Cause: sendQueue.runSession selects among the probe's session and the queued frames. When both are ready at once, select takes either, so that a frame could be written to the connection that the probe was made to check, and was lost with it. The loop without a connection had the same choice: it dialed the peer again although a session was there, and failed every frame if that dial failed.

The fix: whoever takes a frame looks for a session first, and hands the frame to it.

--- a/internal/share/link/link_test.go
+++ b/internal/share/link/link_test.go
@@ -170,6 +170,56 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// A probe's session and a frame are ready at the same time, in either of two states of the
+// queue: with a silent connection or with none, when the peer cannot be dialed any more.
+func TestQueuedFrameIsSentOnProbedConnection(t *testing.T) {
+	const rounds = 20
+	c := qt.New(t)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret)}, nil)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = silent.Close() }()
+	address := b.Addr()
+	a := start(c, &Node{Name: "a", Secret: []byte(goodSecret), Address: resolveTo(&address), SilenceTimeout: 50}, nil)
+	for _, k := range []struct {
+		name string
+		run  func(q *sendQueue)
+	}{
+		{"silent connection", func(q *sendQueue) {
+			conn, err := net.Dial("tcp", silent.Addr().String())
+			c.Assert(err, qt.IsNil)
+			q.runSessions(newSession(newStream(conn)), nil)
+		}},
+		{"no connection", func(q *sendQueue) {
+			a.running.Add(1)
+			q.run()
+		}},
+	} {
+		c.Run(k.name, func(c *qt.C) {
+			for range rounds {
+				address = b.Addr()
+				s, _, err := a.dial(context.Background(), "b")
+				c.Assert(err, qt.IsNil)
+				address = silent.Addr().String()
+				q := newSendQueue(a, "b")
+				body, err := Encode("hello")
+				c.Assert(err, qt.IsNil)
+				o := outgoing{f: frame{Type: frameCall, Kind: "Echo", Body: body}, result: make(chan result, 1)}
+				q.replaceSession(newSession(s))
+				c.Assert(q.enqueue(o), qt.IsNil)
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					k.run(q)
+				}()
+				c.Check((<-o.result).err, qt.IsNil)
+				q.cancel()
+				<-ended
+			}
+		})
+	}
+}
+
 func TestFrameHandshakeAndQueueLimits(t *testing.T) {
 	c := qt.New(t)
 	b := start(c, &Node{
--- a/internal/share/link/queue.go
+++ b/internal/share/link/queue.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// takeReplacement returns a probe's session, or nil. Frames go there rather than to the
+// connection in use, which the probe was made to check.
+func (q *sendQueue) takeReplacement() *session {
+	select {
+	case s := <-q.replacement:
+		return s
+	default:
+		return nil
+	}
+}
+
 // run serves the queue until it has been idle for IdleTimeout or is disconnected.
 func (q *sendQueue) run() {
 	defer q.n.running.Done()
@@ -89,7 +100,11 @@
 		case s := <-q.replacement:
 			q.runSessions(s, nil)
 		case o := <-q.frames:
-			q.dialAndRun(o)
+			if s := q.takeReplacement(); s != nil {
+				q.runSessions(s, &o)
+			} else {
+				q.dialAndRun(o)
+			}
 		case <-q.n.Clock.After(q.n.IdleTimeout):
 			return
 		}
@@ -104,10 +119,8 @@
 	q.ended = true
 	q.mu.Unlock()
 	q.failQueued(ErrStopped, "Stopped")
-	select {
-	case s := <-q.replacement:
+	if s := q.takeReplacement(); s != nil {
 		_ = s.conn.Close()
-	default:
 	}
 }
 
@@ -145,17 +158,17 @@
 // continues with the replacement, if any.
 func (q *sendQueue) runSessions(s *session, first *outgoing) {
 	for s != nil {
-		s = q.runSession(s, first)
-		first = nil
+		s, first = q.runSession(s, first)
 	}
 }
 
-// runSession writes queued frames to a session and returns its replacement, or nil.
-func (q *sendQueue) runSession(s *session, first *outgoing) *session {
+// runSession writes queued frames to a session. It returns its replacement, or nil, and
+// the first frame for that, if there is one already.
+func (q *sendQueue) runSession(s *session, first *outgoing) (*session, *outgoing) {
 	go s.read(q.n)
 	defer s.close()
 	if first != nil && !q.write(s, *first) {
-		return nil
+		return nil, nil
 	}
 	var silenceTimer <-chan struct{}
 	for {
@@ -164,19 +177,22 @@
 		}
 		select {
 		case <-q.ctx.Done():
-			return nil
+			return nil, nil
 		case <-s.done:
-			return nil
+			return nil, nil
 		case next := <-q.replacement:
-			return next
+			return next, nil
 		case o := <-q.frames:
+			if next := q.takeReplacement(); next != nil {
+				return next, &o
+			}
 			if !q.write(s, o) {
-				return nil
+				return nil, nil
 			}
 		case <-silenceTimer:
 			silenceTimer = nil
 			if !q.checkSilence(s) {
-				return nil
+				return nil, nil
 			}
 		}
 	}
