The tests of verbs choose ports that the system gives to nobody

Callers were not concerned: only the test's choice of ports is.

Cause: freePort listened on port 0, closed the listener and returned its port. That port is in the range from which the system serves every other listener on port 0, so that another process could get it before the host of the test listened.

The fix: ports come from 10000 to 29999, below the range that Linux gives out by default; a counter begins at another place in each process, and ports in use are passed over. The same cause stands in the soak's freePorts, whose runs each have addresses of their own; left.

--- a/internal/tools/verbs/front_test.go
+++ b/internal/tools/verbs/front_test.go
@@ -73,11 +73,26 @@
 	stop     func()
 }
 
+// The ports of the hosts are below those that the system gives to other processes, which
+// could take one before its host listens. Each process of the tests begins elsewhere.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var lastPort = os.Getpid() * 16
+
 func freePort(c *qt.C, ip string) int {
-	l, err := net.Listen("tcp", ip+":0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for range portCount {
+		lastPort++
+		port := firstPort + lastPort%portCount
+		if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port)); err == nil {
+			c.Assert(l.Close(), qt.IsNil)
+			return port
+		}
+	}
+	c.Fatalf("no free port at %s", ip)
+	return 0
 }
 
 func newHarness(c *qt.C, hosts int) *harness {
