The test of hedges slows the server that gets the request

Callers were not concerned: all requests of the test were answered in full.

Cause: the test slowed the first engine and expected its eight requests there. A host prefers the engine that was faster lately, and on a busy machine that may be the other one by then; the eight requests went there, were quick, and nothing had to be hedged.

Ruled out: the budget (0 denied where counted).

The fix: a request that did not reach the slow engine makes the other one slow for the next. The check is the same: every completion is equal to the undisturbed one, and a hedge won.

--- a/internal/serve/hostd/fleet_test.go
+++ b/internal/serve/hostd/fleet_test.go
@@ -211,11 +211,19 @@
 		_, err := b.collect(3, -1, nil)
 		b.c.Assert(err, qt.IsNil)
 	}
-	b.standIns.Engine(engines[0]).SetFaults(engine.Faults{LateMilliseconds: 250})
+	// The host prefers the server that was faster lately: the slow one has to be that.
+	slow := 0
 	for range 8 {
+		e := b.standIns.Engine(engines[slow])
+		e.SetFaults(engine.Faults{LateMilliseconds: 250})
+		before := e.Counts().Requests
 		got, err := b.collect(3, -1, nil)
 		b.c.Assert(err, qt.IsNil)
 		b.c.Assert(got, qt.Equals, want)
+		if e.Counts().Requests == before {
+			e.SetFaults(engine.Faults{})
+			slow = 1 - slow
+		}
 	}
 	won := b.host.Count.Count("siskinsaddle_hedges_total",
 		count.Label{Key: "reason", Value: "Won"}, count.Label{Key: "class", Value: "standard"})
