The stand-in sends a response and the bytes after it in one write

Cause: the stand-in wrote the response and the bytes after it in two writes. If its process is delayed between the two, the client has read the whole response, finds nothing unread, keeps the connection and sends its next request before the bytes arrive. HTTP/1.1 cannot tell that from a response to that request; the client reports a broken connection, for which the request may have run, and does not repeat it. So the product did what it must, and the test asked for what nobody can know.

The fix: without a pause, the response and the first bytes after it leave in one write, so that they are there together. The test's checks are unchanged.

--- a/internal/fakes/hangup/hangup.go
+++ b/internal/fakes/hangup/hangup.go
@@ -254,6 +254,10 @@
 		_, _ = io.WriteString(conn, response[:n])
 		return false
 	}
+	if pause == 0 {
+		// A client may send its next request before it can see bytes of a second write.
+		response += endless
+	}
 	_, err := io.WriteString(conn, response)
 	for endless != "" && err == nil {
 		time.Sleep(pause)
