The time until a lost host is dropped is no hold time

Cause: Group.Cancel of a granted request counted the time since its grant as a hold time. A keeper cancels what it heard nothing of for 5 s, so these 5 s, not the 0.02 to 0.6 s that requests hold a slot, went into the class's average, in full if it was the first. 40 waiting requests times 5 s over 8 slots are the 25 s after which a request is refused as too late.

Evidence: TestTimeUntilHostIsDroppedIsNoHoldTime got "b:Shed" on the code before.

The fix: whoever cancels a granted request does not know when it ended; hosts report an end that they know of by Release, whose time counts as before.

--- a/internal/policy/sched/dispatch.go
+++ b/internal/policy/sched/dispatch.go
@@ -98,8 +98,8 @@
 	return v
 }
 
-// stop removes a running request and updates the class's statistics.
-func (g *Group) stop(now clock.Millis, r *run, d Done) {
+// freeSlot removes a running request.
+func (g *Group) freeSlot(r *run) {
 	delete(g.running, r.ID)
 	r.usage.addRunning(-1)
 	r.usage.release()
@@ -110,6 +110,11 @@
 	if r.Spilled {
 		r.server.spilled--
 	}
+}
+
+// stop removes a running request and updates the class's statistics.
+func (g *Group) stop(now clock.Millis, r *run, d Done) {
+	g.freeSlot(r)
 	c := g.class(r.Request)
 	if d.Outcome.Lost() {
 		c.revertGrant(r, d)
--- a/internal/policy/sched/group.go
+++ b/internal/policy/sched/group.go
@@ -174,14 +174,18 @@
 	g.shedTooLate(now)
 }
 
-// Cancel removes a waiting request or frees the slot of a granted one.
+// Cancel removes a waiting request or frees the slot of a granted one. When the latter
+// ended is not known, so that it adds nothing to the hold times of its class.
 func (g *Group) Cancel(now clock.Millis, id string) {
 	if e, ok := g.waiting[id]; ok {
 		g.remove(e)
 		g.advance(now)
 		return
 	}
-	g.Release(now, Done{Progress: Progress{ID: id}, Outcome: OutcomeCancelled})
+	if r, ok := g.running[id]; ok {
+		g.freeSlot(r)
+		g.reschedule(now)
+	}
 }
 
 // DropHost cancels all requests of a lost entry host. Waiting ones are canceled
--- a/internal/policy/sched/naive_test.go
+++ b/internal/policy/sched/naive_test.go
@@ -365,7 +365,11 @@
 func (n *naive) cancel(now clock.Millis, id string) {
 	at := slices.IndexFunc(n.waiting, func(e naiveEntry) bool { return e.ID == id })
 	if at < 0 {
-		n.release(now, id, false)
+		before := len(n.running)
+		n.running = slices.DeleteFunc(n.running, func(e naiveEntry) bool { return e.ID == id })
+		if len(n.running) < before {
+			n.reschedule(now, "")
+		}
 		return
 	}
 	n.waiting = slices.Delete(n.waiting, at, at+1)
--- a/internal/policy/sched/sched_test.go
+++ b/internal/policy/sched/sched_test.go
@@ -58,6 +58,21 @@
 	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"v:Expired"})
 }
 
+func TestTimeUntilHostIsDroppedIsNoHoldTime(t *testing.T) {
+	c := quicktest.New(t)
+	g := oneSlot(sched.Settings{Classes: classes()})
+	lost := request("lost", "draft", "w", 0)
+	lost.Host = "h1"
+	g.Offer(0, lost)
+	g.DropHost(5_000, "h1")
+	for _, id := range []string{"a", "b", "d"} {
+		g.Offer(5_000, request(id, "draft", "w", 5_000))
+	}
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"lost>s1", "a>s1"})
+	g.Release(5_020, sched.Done{Progress: sched.Progress{ID: "a"}, Outcome: sched.OutcomeDone})
+	c.Assert(outcomes(g), quicktest.DeepEquals, []string{"b>s1"})
+}
+
 func TestShedsLowestTier(t *testing.T) {
 	c := quicktest.New(t)
 	g := oneSlot(sched.Settings{Classes: classes()})
