--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -77,6 +77,10 @@
 	HalfEvent       Behavior = "HalfEvent"
 	HalfEventChunks Behavior = "HalfEventChunks"
 	NoEvent         Behavior = "NoEvent"
+	// UnframedStream and CutStream send a stream that ends with its connection: all its
+	// events, or the first half of them.
+	UnframedStream Behavior = "UnframedStream"
+	CutStream      Behavior = "CutStream"
 	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
 	crashAtSegment Behavior = "CrashAtSegment"
 )
@@ -481,7 +485,7 @@
 	return err == nil
 }
 
-// halfStream is a stream that ends inside an event, or before any.
+// halfStream is a stream that ends inside an event, before any, or with its connection.
 type halfStream struct {
 	text      string
 	keepsOpen bool
@@ -493,10 +497,12 @@
 		HalfEvent:       {"\r\n" + halfText, false},
 		HalfEventChunks: {chunkedBody + chunk(halfText) + "0\r\n\r\n", true},
 		NoEvent:         {"\r\n", false},
+		UnframedStream:  {"\r\n" + FullStream(), false},
+		CutStream:       {"\r\n" + FullStream()[:strings.Index(FullStream(), Event(Events/2))], false},
 	}
 )
 
-// writeHalf writes a stream that does not end with an event. It reports whether the
+// writeHalf writes one of halfStreams. It reports whether the
 // connection stays open.
 func (o *Origin) writeHalf(c net.Conn, id string, half halfStream) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s",
