A response that ends with its server's connection ends so for the caller

Cause: the host took the end of such a connection for the end of the answer and framed it on its own account, plain responses too. Ruled out: a wrong join of resumed streams (the first recorded request was not resumed). A reset read as an end is ruled out by TestStreamFailureBeforeFirstEvent.

Now the caller's response has the framing of the server's, or none. While it lasts, SO_LINGER makes a close reset the connection, so that a failed attempt and a killed host do not look like an end. A stream begun in chunks is broken off if its end is not marked. For the detector of crashing prompts such an end is neither survival nor crash; for a server's health it is an answer.

The three tests of package proxy failed before and pass now.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -440,7 +440,7 @@
 	s.removeRequest(g)
 	c.releaseSegments(g.prefix)
 	c.updateHealth(now, g, o)
-	if o == place.OutcomeServed || (g.gotFirstEvent && o == place.OutcomeCancelled) {
+	if o.Answered() || (g.gotFirstEvent && o == place.OutcomeCancelled) {
 		for _, p := range place.PrefixSegments(g.Segments) {
 			c.addCachedSegment(s, p, now)
 		}
@@ -448,12 +448,12 @@
 }
 
 // updateHealth records the outcome of a request in the server's health. It ignores any
-// outcome but OutcomeServed if the last event from the server came to another host
+// outcome without an answer if the last event from the server came to another host
 // since the grant: the server works, so the fault is probably in the network between
 // it and the request's host, which avoids the server by itself.
 func (c *Core) updateHealth(now clock.Millis, g *grantedRequest, o place.Outcome) {
 	s := g.server
-	if o == place.OutcomeServed {
+	if o.Answered() {
 		s.lastEventHost, s.lastEventAt = g.Host, now
 	}
 	if s.lastEventAt > g.grantedAt && s.lastEventHost != g.Host {
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -60,7 +60,7 @@
 		h.failuresInRow++
 	}
 	switch {
-	case o == OutcomeServed:
+	case o.Answered():
 		h.backoff, h.avoidedUntil, h.failuresInRow = 0, 0, 0
 		if !healthy {
 			return ChangeBack
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -73,6 +73,9 @@
 // The outcomes.
 const (
 	OutcomeServed Outcome = "Served"
+	// OutcomeUnmarked means that the answer ended with its connection: it was served,
+	// unless the server crashed.
+	OutcomeUnmarked Outcome = "Unmarked"
 	// OutcomeFull means that the server refused the request without running it.
 	OutcomeFull Outcome = "Full"
 	// OutcomeFailed means that the server answered with an error of its own.
@@ -89,6 +92,9 @@
 	OutcomeCancelled Outcome = "Cancelled"
 )
 
+// Answered reports whether the server answered, as far as is known.
+func (o Outcome) Answered() bool { return o == OutcomeServed || o == OutcomeUnmarked }
+
 // Choice is a chosen server and the reason for the choice.
 type Choice struct {
 	Server fleet.Server
--- a/internal/serve/httpd/conn.go
+++ b/internal/serve/httpd/conn.go
@@ -90,6 +90,9 @@
 		w.close = w.close || r.close
 		w.noBody, w.http10 = r.Method == fasthttp.MethodHead, r.http10
 		watchResult = c.handle(r, w)
+		if w.begun && !w.done && !w.broken {
+			w.Abort()
+		}
 		if w.broken || w.close || !w.done {
 			c.linger(w, watchResult)
 			return
--- a/internal/serve/httpd/response.go
+++ b/internal/serve/httpd/response.go
@@ -20,6 +20,10 @@
 	close  bool
 	noBody bool
 	http10 bool
+	// unframed marks the end of the response by the end of the connection alone.
+	unframed bool
+	// begun is set once the header of a streamed response was written.
+	begun bool
 	// done is set once the complete response was written, broken once the
 	// connection is unusable.
 	done   bool
@@ -33,14 +37,23 @@
 // CloseAfter ends the connection after this response.
 func (w *ResponseWriter) CloseAfter() { w.close = true }
 
+// EndWithConnection makes the response end with its connection, without a length or
+// chunks, for a response that is not known to be complete. It is called before Whole or
+// Begin.
+func (w *ResponseWriter) EndWithConnection() { w.unframed, w.close = true, true }
+
+// Unframed reports whether the response ends with its connection.
+func (w *ResponseWriter) Unframed() bool { return w.unframed }
+
 // Broken reports whether the connection failed, so that no more bytes can be sent.
 func (w *ResponseWriter) Broken() bool { return w.broken }
 
 // Whole writes a complete response. For a HEAD request it sends the body's
 // Content-Length without the body.
 func (w *ResponseWriter) Whole(status int, headers []wire.Header, body []byte) {
+	w.resetOnClose(true)
 	w.appendHeader(status, headers)
-	if status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
+	if status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified && !w.unframed {
 		w.buffer = append(w.buffer, "Content-Length: "...)
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(body)), 10)
 		w.buffer = append(w.buffer, "\r\n"...)
@@ -49,9 +62,7 @@
 	if !w.noBody {
 		w.buffer = append(w.buffer, body...)
 	}
-	if w.write() {
-		w.done = true
-	}
+	w.finish()
 }
 
 // WholeHead writes the response to a HEAD request. A length of 0 or more is sent as
@@ -84,12 +95,14 @@
 
 // Begin writes the header and the first piece of a streamed response.
 func (w *ResponseWriter) Begin(status int, headers []wire.Header, first []byte) {
-	w.appendHeader(status, headers)
+	w.begun = true
 	if w.http10 {
-		// HTTP/1.0 has no chunked encoding: the end of the connection marks the
-		// end of the response.
-		w.close = true
-	} else {
+		// HTTP/1.0 has no chunked encoding.
+		w.EndWithConnection()
+	}
+	w.resetOnClose(true)
+	w.appendHeader(status, headers)
+	if !w.unframed {
 		w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n"...)
 	}
 	w.buffer = append(w.buffer, "\r\n"...)
@@ -107,27 +120,43 @@
 // complete.
 func (w *ResponseWriter) End(last []byte) {
 	w.chunk(last)
-	if !w.http10 {
+	if !w.unframed {
 		w.buffer = append(w.buffer, "0\r\n\r\n"...)
 	}
+	w.finish()
+}
+
+// finish writes the rest of the buffer and lets the connection end in order.
+func (w *ResponseWriter) finish() {
 	if w.write() {
 		w.done = true
+		w.resetOnClose(false)
 	}
 }
 
 // Abort closes the connection, so that the caller sees an incomplete response.
 func (w *ResponseWriter) Abort() {
 	w.broken = true
-	if w.http10 {
-		// Without chunked encoding, only a reset distinguishes a truncated
-		// response from a complete one.
-		if tcp, ok := w.conn.net.(interface{ SetLinger(int) error }); ok {
-			_ = tcp.SetLinger(0) // without it the close below still ends the connection
-		}
-	}
+	w.resetOnClose(true)
 	_ = w.conn.net.Close() // the connection is unusable either way
 }
 
+// resetOnClose sets whether a close of the connection, also by the end of the process,
+// resets it. Without framing, only a reset distinguishes a truncated response from a
+// complete one.
+func (w *ResponseWriter) resetOnClose(on bool) {
+	if !w.unframed {
+		return
+	}
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	if tcp, ok := w.conn.net.(interface{ SetLinger(int) error }); ok {
+		_ = tcp.SetLinger(seconds) // fails on a broken connection only
+	}
+}
+
 // appendHeader appends the status line and the header fields to the buffer.
 func (w *ResponseWriter) appendHeader(status int, headers []wire.Header) {
 	w.buffer = append(w.buffer[:0], "HTTP/1.1 "...)
@@ -153,12 +182,12 @@
 	if len(p) == 0 || w.noBody {
 		return
 	}
-	if !w.http10 {
+	if !w.unframed {
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(p)), hexadecimal)
 		w.buffer = append(w.buffer, "\r\n"...)
 	}
 	w.buffer = append(w.buffer, p...)
-	if !w.http10 {
+	if !w.unframed {
 		w.buffer = append(w.buffer, "\r\n"...)
 	}
 }
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -163,14 +163,23 @@
 	if response.Length >= 0 && len(body) != response.Length {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
 	}
-	w := bufferedResponse{status: response.Status, headers: headers, body: body}
+	w := bufferedResponse{status: response.Status, headers: headers, body: body, endUnmarked: response.EndUnmarked()}
 	if response.Status >= fasthttp.StatusInternalServerError {
 		j.serverError = &w
 		return result{outcome: place.OutcomeFailed, sent: retry.SentWhole, cause: "ServerFailed"}
 	}
 	j.firstByteAt = j.proxy.Clock.Now()
 	j.deliver(w)
-	return result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
+	return servedResult(response)
+}
+
+// servedResult returns the result of an attempt whose answer was forwarded to its end.
+func servedResult(response wire.Response) result {
+	r := result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
+	if response.EndUnmarked() {
+		r.outcome, r.cause = place.OutcomeUnmarked, causeEndUnmarked
+	}
+	return r
 }
 
 // droppedResponseFields are the fields of a response that are not forwarded: the
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -80,11 +80,13 @@
 	longestPause clock.Millis
 }
 
-// bufferedResponse is a complete response of a server.
+// bufferedResponse is a response of a server that was read to its end.
 type bufferedResponse struct {
 	status  int
 	headers []wire.Header
 	body    []byte
+	// endUnmarked is set if nothing tells whether the body is complete.
+	endUnmarked bool
 }
 
 // result is the result of one attempt.
@@ -92,6 +94,8 @@
 	outcome place.Outcome
 	// served is set if the caller got the final response.
 	served bool
+	// final is set if no further attempt is made.
+	final bool
 	// sent is how much of the request the server may have received. It is
 	// SentNothing if the server states that it did not run the request.
 	sent retry.Sent
@@ -113,7 +117,7 @@
 		}
 		r := j.attempt(ctx, choice)
 		if r.served {
-			j.recordEnd("Served", "")
+			j.recordEnd("Served", r.cause)
 			return
 		}
 		if j.callerCtx.Err() != nil || j.writer.Broken() {
@@ -123,6 +127,10 @@
 		if r.sent != retry.SentNothing {
 			j.mayHaveRun = true
 		}
+		if r.final {
+			j.respondFailed(retry.ActionBreakOff, r)
+			return
+		}
 		if !j.handleFailure(r) {
 			return
 		}
@@ -230,6 +238,9 @@
 }
 
 func (j *job) deliver(w bufferedResponse) {
+	if w.endUnmarked {
+		j.writer.EndWithConnection()
+	}
 	j.writer.Whole(w.status, w.headers, w.body)
 }
 
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -141,24 +141,40 @@
 	j.lastEventAt = now
 	j.headerSent = true
 	j.firstByteAt = j.proxy.Clock.Now()
+	j.begin(response, events)
+}
+
+// begin sends the header of a stream and its first events. The caller's response is framed
+// only if the server's is.
+func (j *job) begin(response wire.Response, events []byte) {
+	if response.EndUnmarked() {
+		j.writer.EndWithConnection()
+	}
 	j.writer.Begin(response.Status, forwardedHeaders(response.Headers), events)
 }
 
+// causeEndUnmarked is the cause of a response whose server did not mark its end.
+const causeEndUnmarked = "EndUnmarked"
+
 // endStream ends the caller's response after the server ended its own. A stream that ends
 // inside an event is incomplete, whatever its framing says, and so is one that ends with
-// its connection before the first event.
+// its connection before the first event. One that ends with its connection after an event is
+// forwarded as such, and broken off if the caller was promised a marked end.
 func (j *job) endStream(response wire.Response, c *eventBuffer) result {
 	inEvent := len(bytes.TrimSpace(c.buffer)) > 0
-	if inEvent || (!j.headerSent && response.Length == wire.LengthToClose) {
+	if inEvent || (!j.headerSent && response.EndUnmarked()) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
 	}
+	if response.EndUnmarked() && !j.writer.Unframed() {
+		return result{outcome: place.OutcomeUnmarked, final: true, sent: retry.SentWhole, cause: causeEndUnmarked}
+	}
 	if !j.headerSent {
 		j.headerSent = true
 		j.firstByteAt = j.proxy.Clock.Now()
-		j.writer.Begin(response.Status, forwardedHeaders(response.Headers), c.buffer)
+		j.begin(response, c.buffer)
 		j.writer.End(nil)
 	} else {
 		j.writer.End(c.buffer)
 	}
-	return result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
+	return servedResult(response)
 }
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -120,6 +120,12 @@
 	BodyBegun func()
 }
 
+// EndUnmarked reports whether the body ends with its connection, so that nothing tells
+// whether it is complete.
+func (r Response) EndUnmarked() bool {
+	return r.Length == LengthToClose && r.Status != fasthttp.StatusNoContent && r.Status != fasthttp.StatusNotModified
+}
+
 // Header returns the first field of that name, or "" if there is none.
 func (r Response) Header(name string) string {
 	for _, h := range r.Headers {
--- a/internal/tools/trace/cause.go
+++ b/internal/tools/trace/cause.go
@@ -12,7 +12,8 @@
 // empty cause matches all causes that are not listed.
 var meanings = map[string]map[string]string{
 	"Served": {
-		"": "the caller received the complete answer; see first, pause and took for its latency",
+		"EndUnmarked": "the server's response ended with its connection, and so did the caller's: nothing tells whether it was complete",
+		"":            "the caller received the complete answer; see first, pause and took for its latency",
 	},
 	"ServerFailed": {
 		"": "the backend server answered with an error, which was forwarded unchanged; sends is the number of servers that were tried",
@@ -32,9 +33,10 @@
 			"Look for the server's own failure at that time",
 	},
 	"BrokenOff": {
-		"Silent":  "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
-		"TooLong": "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
-		"":        "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
+		"Silent":      "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"TooLong":     "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"EndUnmarked": "the stream had started in chunks at one server and ended with the connection to another one, which marks no end; it may have been complete",
+		"":            "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
 	},
 	"CallerGone": {
 		"": "the caller closed its connection; see first and pause for how long it had waited",
