Failing tests of a store that is restored from an older copy

The stand-in store can now be copied and restored: versions are given out again, a watch from one that it doesn't have fails with ErrHistoryGone, and replies name the era. Nothing reads the era yet.

--- a/internal/fakes/memdb/memdb.go
+++ b/internal/fakes/memdb/memdb.go
@@ -1,7 +1,7 @@
 // Package memdb is an in-memory stand-in for the platform's row store with fault
 // injection: it can be down or slow, lose responses, apply changes late, refuse
-// single hosts, return stale reads, discard its change history, and stop
-// delivering changes to watches.
+// single hosts, return stale reads, discard its change history, stop delivering
+// changes to watches, and be restored from an older copy.
 //
 // # Usage
 //
@@ -10,10 +10,14 @@
 //	store := s.For("host-1")
 //	reply, err := store.Read(ctx, rows.Range{Table: "op"})
 //	s.SetFaults(memdb.Faults{Down: true})
+//	old := s.Copy()
+//	s.Restore(old) // what was written since is lost
 package memdb
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
@@ -47,6 +51,7 @@
 
 	mu      sync.Mutex
 	rows    map[rowKey]rows.Row
+	era     int64
 	version int64
 	// history holds every change after the version compacted.
 	history   []rows.Row
@@ -61,7 +66,7 @@
 
 // New returns an empty Store.
 func New(c clock.Clock) *Store {
-	return &Store{clock: c, rows: map[rowKey]rows.Row{}, changed: make(chan struct{})}
+	return &Store{clock: c, rows: map[rowKey]rows.Row{}, era: 1, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults; pending watches apply them at once.
@@ -107,6 +112,30 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of the whole store.
+type Copy struct {
+	rows      map[rowKey]rows.Row
+	version   int64
+	history   []rows.Row
+	compacted int64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.rows), s.version, slices.Clone(s.history), s.compacted}
+}
+
+// Restore replaces the content by a copy and begins a new era. Open watches fail.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version, s.history, s.compacted = maps.Clone(c.rows), c.version, slices.Clone(c.history), c.compacted
+	s.era++
+	s.notifyWatches()
+}
+
 // write applies a row and notifies the watches. The caller holds the lock.
 func (s *Store) write(r rows.Row) {
 	k := rowKey{r.Table, r.Partition, r.Key}
@@ -170,7 +199,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := rows.Reply{Version: s.version - f.StaleBy, Now: s.clock.Now()}
+	reply := rows.Reply{Era: s.era, Version: s.version - f.StaleBy, Now: s.clock.Now()}
 	for _, row := range s.rows {
 		if row.Table == r.Table && row.Partition == r.Partition &&
 			row.Key >= r.From && (r.To == "" || row.Key < r.To) &&
@@ -189,12 +218,16 @@
 		return rows.Reply{}, err
 	}
 	timeout := s.clock.After(wait)
+	era := int64(0)
 	for {
 		s.mu.Lock()
 		changed := s.changed
-		reply := rows.Reply{Version: s.version, Now: s.clock.Now()}
-		historyGone := after < s.compacted
-		down := s.faults.Down || s.faults.RefusedHosts[host]
+		if era == 0 {
+			era = s.era
+		}
+		reply := rows.Reply{Era: s.era, Version: s.version, Now: s.clock.Now()}
+		historyGone := after < s.compacted || after > s.version
+		down := s.faults.Down || s.faults.RefusedHosts[host] || s.era != era
 		if !s.faults.MuteWatches {
 			for _, row := range s.history {
 				if row.Table == table && row.Version > after {
@@ -258,5 +291,5 @@
 		r.Version, r.Deleted = s.version, true
 		s.write(r)
 	}
-	return rows.Reply{Version: s.version, Now: s.clock.Now()}, nil
+	return rows.Reply{Era: s.era, Version: s.version, Now: s.clock.Now()}, nil
 }
--- a/internal/plat/rows/rows.go
+++ b/internal/plat/rows/rows.go
@@ -55,10 +55,29 @@
 // its monotonic clock in milliseconds.
 type Reply struct {
 	Rows    []Row
+	Era     int64
 	Version int64
 	Now     clock.Millis
 }
 
+// Revision returns the reply's position in the history of the store.
+func (r Reply) Revision() Revision { return Revision{Era: r.Era, Version: r.Version} }
+
+// Revision is a position in the history of the store. Each restore of the store from a copy
+// begins a new era, in which the versions after the copy's are given out again.
+type Revision struct {
+	Era     int64
+	Version int64
+}
+
+// Before reports whether the position is older than another one.
+func (r Revision) Before(other Revision) bool {
+	if r.Era != other.Era {
+		return r.Era < other.Era
+	}
+	return r.Version < other.Version
+}
+
 // Change is a transaction: it applies Writes and Removes if every row of Expect has the
 // version given in it.
 type Change struct {
--- a/internal/share/mirror/mirror_test.go
+++ b/internal/share/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -278,3 +279,27 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// The followers of a host that has seen a restore get lower versions than before.
+func TestFollowersApplyChangesAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, "d1", "d1", "d1", "d1", "d1")
+	old := g.store.Copy()
+	g.store.Put("op", "manifest", []byte("2"))
+	g.store.Put("servers", "b", []byte("10.0.0.2:1"))
+	eventually(func() bool {
+		return g.all(func(h *host) bool { return h.version() == 2 && len(h.watcher.View().Servers) == 2 })
+	})
+	g.store.Restore(old)
+	g.store.Put("op", "manifest", []byte("3"))
+	g.store.Put("servers", "c", []byte("10.0.0.3:1"))
+	knows := func(h *host) bool {
+		return h.version() == 3 && slices.ContainsFunc(h.watcher.View().Servers, func(s fleet.Server) bool { return s.ID == "c" })
+	}
+	end := time.Now().Add(2 * time.Second)
+	for !g.all(knows) && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(g.all(knows), qt.IsTrue)
+	c.Assert(len(g.readers()) < len(g.hosts), qt.IsTrue)
+}
