Positions in the store are compared by era and version

Cause: the store's version was taken to rise for ever. After a restore from a copy it goes back and is given out again, so that each reply counted as stale until the version had passed the one seen before; once it had, a watch from an old position missed the changes below it, and the operator's row in the copy, older in fact, could count as newer and revert the manifest.

Now each reply has the store's era (Store-Era), and positions are compared by era, then version (rows.Revision): in the confirmation, both followers, messages of the mirror and the list of hosts. Late replies of an older era are dropped; in a new era each table is read again, and missing servers have the grace that follows an outage. Between eras manifests are ordered by their own version: the operator's newer one, known from before the restore or from another host, is never replaced by the copy's.

Hosts of the version before name no era; their views count as older.

--- a/internal/share/member/member.go
+++ b/internal/share/member/member.go
@@ -70,7 +70,7 @@
 
 	mu      sync.Mutex
 	members []Member
-	version int64
+	version rows.Revision
 	joined  bool
 }
 
@@ -155,9 +155,9 @@
 	}
 	var secret []byte
 	var members []Member
-	version := int64(0)
+	newest := rows.Revision{Era: reply.Era}
 	for _, row := range reply.Rows {
-		version = max(version, row.Version)
+		newest.Version = max(newest.Version, row.Version)
 		if row.Key == secretKey {
 			secret = row.Value
 			continue
@@ -173,7 +173,7 @@
 		}
 		members = append(members, m)
 	}
-	r.Adopt(members, version)
+	r.Adopt(members, newest)
 	return secret, nil
 }
 
@@ -188,12 +188,12 @@
 	}
 }
 
-// Adopt replaces the records, unless the current ones are newer. Version is the store's
-// version of the newest of them.
-func (r *Registry) Adopt(members []Member, version int64) {
+// Adopt replaces the records, unless the current ones are newer. Newest is the position of
+// the newest of them in the store.
+func (r *Registry) Adopt(members []Member, newest rows.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version < r.version {
+	if newest.Before(r.version) {
 		return
 	}
 	members = append([]Member(nil), members...)
@@ -204,7 +204,7 @@
 	if len(members) != len(r.members) {
 		r.Log.Info("List of hosts changed.", "hosts", len(members))
 	}
-	r.members, r.version = members, version
+	r.members, r.version = members, newest
 }
 
 // Run reads the records periodically until the context ends.
@@ -225,8 +225,8 @@
 	}
 }
 
-// Version returns the store's version of the newest record.
-func (r *Registry) Version() int64 {
+// Version returns the position of the newest record in the store.
+func (r *Registry) Version() rows.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.version
--- a/internal/share/mirror/mirror.go
+++ b/internal/share/mirror/mirror.go
@@ -36,6 +36,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/share/link"
 	"siskinsaddle/internal/share/member"
 	"siskinsaddle/internal/share/watch"
@@ -234,8 +235,10 @@
 	v := m.Watcher.View()
 	sent := m.Clock.Boot()
 	q := queryMessage{
-		ViewID: m.lastViewID(name), Row: v.ManifestRevision, Members: m.Members.Version(), Age: m.Watcher.Age(sent),
+		ViewID: m.lastViewID(name), Row: v.ManifestRevision.Version, ManifestEra: v.ManifestRevision.Era, Age: m.Watcher.Age(sent),
 	}
+	members := m.Members.Version()
+	q.Members, q.MembersEra = members.Version, members.Era
 	limit := shortTimeout
 	if left := m.staleAge() - q.Age; m.source == name && left > shortTimeout {
 		q.Wait, limit = left-replyMargin, left
@@ -272,14 +275,14 @@
 			return err
 		}
 		view = in.view(sent, got.Missing)
-		m.Members.Adopt(in.Members, in.MembersVersion)
+		m.Members.Adopt(in.Members, rows.Revision{Era: in.MembersEra, Version: in.MembersVersion})
 	}
-	view.ManifestRevision = got.Row
+	view.ManifestRevision = rows.Revision{Era: got.ManifestEra, Version: got.Row}
 	confirmed := watch.NeverConfirmed
 	if got.Known {
 		confirmed = sent + got.Confirmed
 	}
-	m.Watcher.Adopt(view, confirmed)
+	m.Watcher.Adopt(view, got.ManifestVersion, confirmed)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.received = viewOrigin{name, got.ViewID}
--- a/internal/share/mirror/wire.go
+++ b/internal/share/mirror/wire.go
@@ -23,10 +23,12 @@
 type queryMessage struct {
 	// ViewID is the ID of the last view received from the queried host, 0 for none.
 	ViewID int64
-	// Row is the store's version of the manifest, Members that of the hosts'
-	// records, as the querying host has them.
-	Row     int64
-	Members int64
+	// Row and ManifestEra are the position of the manifest in the store, Members and
+	// MembersEra that of the hosts' records, as the querying host has them.
+	Row         int64
+	ManifestEra int64
+	Members     int64
+	MembersEra  int64
 	// Age is the age of the manifest's confirmation when the query was sent.
 	Age clock.Millis
 	// Wait is how long the reply may wait for newer state, in milliseconds.
@@ -36,12 +38,14 @@
 // reply is the response to a query. Body is empty if nothing changed.
 type reply struct {
 	ViewID int64
-	// Row is the store's version of the confirmed manifest. Confirmed is the time
-	// of the confirmation, in milliseconds relative to the arrival of the query. It is
-	// valid if Known is set.
-	Row       int64
-	Known     bool
-	Confirmed clock.Millis
+	// Row and ManifestEra are the position of the confirmed manifest in the store,
+	// ManifestVersion is its own version. Confirmed is the time of the confirmation, in
+	// milliseconds relative to the arrival of the query. It is valid if Known is set.
+	Row             int64
+	ManifestEra     int64
+	ManifestVersion int64
+	Known           bool
+	Confirmed       clock.Millis
 	// Direct is set if the host itself reads the store successfully. Other hosts
 	// may confirm the manifest, but following them could form a cycle.
 	Direct bool
@@ -52,15 +56,17 @@
 }
 
 // body is the whole state of the replying host. Manifest is empty if the querying
-// host has the same or newer rows.
+// host has the same rows.
 type body struct {
 	Manifest       []rows.Row
 	Servers        []fleet.Server
 	ServersKnown   bool
 	ServersRow     int64
+	ServersEra     int64
 	StoreDown      bool
 	Members        []member.Member
 	MembersVersion int64
+	MembersEra     int64
 }
 
 // view returns the body as a view. Sent is the time at which the query was sent, which
@@ -75,7 +81,7 @@
 		ManifestRows:    b.Manifest,
 		Servers:         b.Servers,
 		ServersKnown:    b.ServersKnown,
-		ServersRevision: b.ServersRow,
+		ServersRevision: rows.Revision{Era: b.ServersEra, Version: b.ServersRow},
 		StoreDown:       b.StoreDown,
 	}
 }
@@ -88,7 +94,7 @@
 
 type bodyKey struct {
 	viewID       int64
-	members      int64
+	members      rows.Revision
 	withManifest bool
 }
 
@@ -105,11 +111,12 @@
 		return nil, err
 	}
 	timeout := m.Clock.After(q.Wait)
+	members := rows.Revision{Era: q.MembersEra, Version: q.Members}
 	for {
 		updated := m.Watcher.Updated()
 		viewID := m.Watcher.ViewID()
 		confirmed := received - m.Watcher.Age(received)
-		newer := viewID != q.ViewID || m.Members.Version() > q.Members
+		newer := viewID != q.ViewID || members.Before(m.Members.Version())
 		if newer || q.Wait == 0 || confirmed > received-q.Age+minAgeGain {
 			return m.reply(q, received, viewID)
 		}
@@ -131,32 +138,38 @@
 	age := m.Watcher.Age(received)
 	v := m.Watcher.View()
 	r := reply{
-		ViewID: viewID,
-		Row:    v.ManifestRevision,
+		ViewID:      viewID,
+		Row:         v.ManifestRevision.Version,
+		ManifestEra: v.ManifestRevision.Era,
 		// An older confirmation stands for none, see watch.NeverConfirmed.
 		Known:     age < clock.Hour,
 		Confirmed: -age,
 		Direct:    m.Watcher.DirectAge(received) <= m.staleAge() && !v.StoreDown,
 	}
+	if v.Manifest != nil {
+		r.ManifestVersion = v.Manifest.Version()
+	}
 	members := m.Members.Version()
-	if viewID == q.ViewID && members <= q.Members {
+	if viewID == q.ViewID && !(rows.Revision{Era: q.MembersEra, Version: q.Members}).Before(members) {
 		return r, nil
 	}
 	r.Missing = map[string]clock.Millis{}
 	for id, dropAt := range v.Missing {
 		r.Missing[id] = dropAt - received
 	}
-	k := bodyKey{viewID, members, v.ManifestRevision > q.Row}
+	k := bodyKey{viewID, members, v.ManifestRevision != rows.Revision{Era: q.ManifestEra, Version: q.Row}}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.bodyCache.key != k || m.bodyCache.body == nil {
 		out := body{
 			Servers:        v.Servers,
 			ServersKnown:   v.ServersKnown,
-			ServersRow:     v.ServersRevision,
+			ServersRow:     v.ServersRevision.Version,
+			ServersEra:     v.ServersRevision.Era,
 			StoreDown:      v.StoreDown,
 			Members:        m.Members.Members(),
-			MembersVersion: members,
+			MembersVersion: members.Version,
+			MembersEra:     members.Era,
 		}
 		if k.withManifest {
 			out.Manifest = v.ManifestRows
--- a/internal/share/mirror/wire_test.go
+++ b/internal/share/mirror/wire_test.go
@@ -48,7 +48,7 @@
 func TestHostWithoutOwnReadsIsNoReader(t *testing.T) {
 	c := qt.New(t)
 	m, _ := newUnlinkedHost()
-	m.Watcher.Adopt(watch.View{Servers: []fleet.Server{{ID: "a"}}, ServersKnown: true, ServersRevision: 5}, m.Clock.Boot())
+	m.Watcher.Adopt(watch.View{Servers: []fleet.Server{{ID: "a"}}, ServersKnown: true, ServersRevision: rows.Revision{Version: 5}}, 0, m.Clock.Boot())
 	got := query(c, m, queryMessage{ViewID: m.Watcher.ViewID()})
 	c.Assert(got.Known, qt.IsTrue)
 	c.Assert(got.Direct, qt.IsFalse)
@@ -68,9 +68,9 @@
 	reader, _ := newUnlinkedHost()
 	now := reader.Clock.Boot()
 	reader.Watcher.Adopt(watch.View{
-		Servers: []fleet.Server{{ID: "a"}, {ID: "b"}}, ServersKnown: true, ServersRevision: 5,
+		Servers: []fleet.Server{{ID: "a"}, {ID: "b"}}, ServersKnown: true, ServersRevision: rows.Revision{Version: 5},
 		Missing: map[string]clock.Millis{"b": now + 300},
-	}, now)
+	}, 0, now)
 	follower, _ := newUnlinkedHost()
 	sent := follower.Clock.Boot()
 	c.Assert(follower.adopt("reader", sent, query(c, reader, queryMessage{})), qt.IsNil)
--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -36,16 +36,18 @@
 	// onSnapshot gets all rows, onChange the changed ones, possibly none.
 	onSnapshot func(rows.Reply)
 	onChange   func(rows.Reply)
+	// enterEra checks the era of each reply.
+	enterEra func(era int64) error
 	// onFailure gets the number of consecutive failures.
 	onFailure func(int)
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
 
-	// hasSnapshot is set after a snapshot read. after is the version from which
+	// hasSnapshot is set after a snapshot read. after is the position from which
 	// to watch.
 	hasSnapshot bool
-	after       int64
+	after       rows.Revision
 	failing     bool
 }
 
@@ -94,19 +96,30 @@
 		if err != nil {
 			return err
 		}
-		if reply.Version < f.after {
+		if err := f.enterEra(reply.Era); err != nil {
+			return err
+		}
+		if reply.Revision().Before(f.after) {
 			return errStale
 		}
-		f.hasSnapshot, f.after = true, reply.Version
+		f.hasSnapshot, f.after = true, reply.Revision()
 		f.onSnapshot(reply)
 		return nil
 	}
-	reply, err := f.store.Watch(ctx, f.span.Table, f.after, f.watchWait)
+	reply, err := f.store.Watch(ctx, f.span.Table, f.after.Version, f.watchWait)
 	if err != nil {
 		return err
 	}
+	if err := f.enterEra(reply.Era); err != nil {
+		return err
+	}
+	if reply.Era != f.after.Era {
+		// The position is one of another history.
+		f.hasSnapshot = false
+		return nil
+	}
 	if len(reply.Rows) > 0 {
-		f.after = max(f.after, reply.Version)
+		f.after.Version = max(f.after.Version, reply.Version)
 	}
 	f.onChange(reply)
 	if len(reply.Rows) > 0 && f.batchDelay > 0 {
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -12,6 +12,12 @@
 // as of the time at which the read was sent. The age of that confirmation decides
 // whether API keys are accepted. Ages are measured with the boot-time clock.
 //
+// The store may be restored from an older copy. Its versions go back then and are given
+// out again, and its era rises. Positions are compared by era and version, so that late
+// replies from before the restore are told from newer ones, and each table is read again
+// in a new era. A manifest of another era is applied only if its own version is higher,
+// since the copy may hold an older one than that in force.
+//
 // Not every host has to read the store: Adopt applies the state of another host,
 // and Run may end and be called again.
 //
@@ -55,15 +61,15 @@
 type View struct {
 	// Manifest is nil until the first one is received.
 	Manifest *route.Manifest
-	// ManifestRevision is the store's version of the manifest's row, ManifestRows are
+	// ManifestRevision is the position of the manifest's row, ManifestRows are
 	// the rows that it was decoded from.
-	ManifestRevision int64
+	ManifestRevision rows.Revision
 	ManifestRows     []rows.Row
 	// Servers are sorted by ID. ServersKnown is set once they were read,
-	// ServersRevision is the store's version of the last change that they include.
+	// ServersRevision is the position of the last change that they include.
 	Servers         []fleet.Server
 	ServersKnown    bool
-	ServersRevision int64
+	ServersRevision rows.Revision
 	// Missing maps the ID of each server without a record to the time at which
 	// it is dropped, on the boot-time clock.
 	Missing map[string]clock.Millis
@@ -117,6 +123,9 @@
 	mu              sync.Mutex
 	fleet           *fleet.Fleet
 	storeDown       bool
+	// era is the newest era of the store, valid if eraKnown is set.
+	era      int64
+	eraKnown bool
 	// recovered notifies when a read of the manifest succeeds after a failed one,
 	// updated at each change and confirmation.
 	recovered notifier
@@ -168,14 +177,14 @@
 // afterwards.
 func (w *Watcher) Run(ctx context.Context) {
 	w.prepare()
-	version, ok := w.confirmFirst(ctx)
+	after, ok := w.confirmFirst(ctx)
 	if !ok {
 		return
 	}
 	manifest := w.follower("manifest", w.Source.ManifestRange, manifestWait)
-	manifest.onSnapshot = func(r rows.Reply) { w.applyManifest(r.Rows) }
-	manifest.onChange = func(r rows.Reply) { w.applyManifest(r.Rows) }
-	manifest.hasSnapshot, manifest.after = true, version
+	manifest.onSnapshot = func(r rows.Reply) { w.applyManifest(r.Rows, r.Era) }
+	manifest.onChange = manifest.onSnapshot
+	manifest.hasSnapshot, manifest.after = true, after
 	servers := w.follower("servers", w.Source.ServersRange, serversWait)
 	servers.after = w.View().ServersRevision
 	servers.batchDelay = serversBatchDelay
@@ -212,42 +221,60 @@
 		log:       w.Log.With("table", name),
 		span:      span,
 		watchWait: watchWait,
+		enterEra:  w.enterEra,
 		onFailure: func(int) {},
 	}
 }
 
-// confirm reads the manifest once and returns the store's version of that read.
-func (w *Watcher) confirm(ctx context.Context) (int64, error) {
+// enterEra checks the era of a reply. In a new one the records of servers may be missing,
+// as after an outage. An older one is that of a late reply.
+func (w *Watcher) enterEra(era int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.eraKnown && era < w.era {
+		return errStale
+	}
+	if w.eraKnown && era > w.era {
+		w.Log.Warn("The store was restored from a copy; all its tables are read again.", "era", era)
+		w.fleet.StoreFailed(w.Clock.Boot())
+	}
+	w.era, w.eraKnown = era, true
+	return nil
+}
+
+// confirm reads the manifest once and returns the position of that read.
+func (w *Watcher) confirm(ctx context.Context) (rows.Revision, error) {
 	sent := w.Clock.Boot()
 	reply, err := w.Store.Read(ctx, w.Source.ManifestRange)
 	if err != nil {
-		return 0, err
+		return rows.Revision{}, err
 	}
-	if reply.Version < w.View().ManifestRevision {
+	err = w.enterEra(reply.Era)
+	if err != nil || reply.Revision().Before(w.View().ManifestRevision) {
 		w.Log.Warn("Stale reply from the store ignored; the manifest is not confirmed.",
-			"version", reply.Version)
-		return 0, errStale
+			"era", reply.Era, "version", reply.Version)
+		return rows.Revision{}, errStale
 	}
-	w.applyManifest(reply.Rows)
+	w.applyManifest(reply.Rows, reply.Era)
 	w.confirmedDirect.Store(int64(sent))
 	w.Confirm(sent)
-	return reply.Version, nil
+	return reply.Revision(), nil
 }
 
 // confirmFirst retries until a read succeeds or the context ends. During a store
 // outage, these reads alone detect its end.
-func (w *Watcher) confirmFirst(ctx context.Context) (int64, bool) {
+func (w *Watcher) confirmFirst(ctx context.Context) (rows.Revision, bool) {
 	for first := true; ctx.Err() == nil; first = false {
-		version, err := w.confirm(ctx)
+		after, err := w.confirm(ctx)
 		if err == nil {
-			return version, true
+			return after, true
 		}
 		if first && ctx.Err() == nil {
 			w.Log.Warn("Reading the manifest failed; retrying.", "err", err)
 		}
 		w.pause(ctx, w.retryWait())
 	}
-	return 0, false
+	return rows.Revision{}, false
 }
 
 // confirmPeriodically reads the manifest at intervals until the context ends.
@@ -297,9 +324,9 @@
 	return wait + clock.Millis(rand.N(int64(wait)))
 }
 
-// applyManifest puts a newer manifest in force. Versions never go back: rows that
+// applyManifest puts a newer manifest in force. Manifests never go back: rows that
 // are not newer than those in force are ignored.
-func (w *Watcher) applyManifest(all []rows.Row) {
+func (w *Watcher) applyManifest(all []rows.Row, era int64) {
 	m, err := w.Source.Manifest(all)
 	if err != nil {
 		w.Log.Error("Decoding the manifest failed; the previous manifest stays in force.", "err", err)
@@ -308,41 +335,56 @@
 	if m == nil {
 		return
 	}
-	row := int64(0)
+	at := rows.Revision{Era: era}
 	for _, r := range all {
-		row = max(row, r.Version)
+		at.Version = max(at.Version, r.Version)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.View()
-	if v.Manifest != nil && row <= v.ManifestRevision {
+	if v.Manifest != nil && !newerManifest(m.Version(), at, v.Manifest.Version(), v.ManifestRevision) {
 		return
 	}
-	v.Manifest, v.ManifestRevision, v.ManifestRows = m, row, all
+	v.Manifest, v.ManifestRevision, v.ManifestRows = m, at, all
 	routes, services, keys := m.Counts()
-	w.Log.Info("Manifest in force.", "version", m.Version(), "row", row,
+	w.Log.Info("Manifest in force.", "version", m.Version(), "era", at.Era, "row", at.Version,
 		"routes", routes, "services", services, "keys", keys)
 	w.publish(v)
 }
 
+// newerManifest reports whether the manifest with a version at a position of the store is
+// newer than the one in force. Within an era the store orders them. Positions of different
+// eras say nothing about that, so there the manifests' own versions do.
+func newerManifest(version int64, at rows.Revision, inForce int64, inForceAt rows.Revision) bool {
+	if at.Era == inForceAt.Era || version == inForce {
+		return inForceAt.Before(at)
+	}
+	return version > inForce
+}
+
 // Adopt applies the view of another host. Confirmed is the time at which that host's
 // manifest was confirmed, on the boot-time clock of this host. The manifest is
-// decoded from ManifestRows alone, which may be missing if this host has them.
-func (w *Watcher) Adopt(v View, confirmed clock.Millis) {
+// decoded from ManifestRows alone, which may be missing if this host has them. Version is
+// that manifest's version.
+func (w *Watcher) Adopt(v View, version int64, confirmed clock.Millis) {
 	w.prepare()
 	if len(v.ManifestRows) > 0 {
-		w.applyManifest(v.ManifestRows)
+		w.applyManifest(v.ManifestRows, v.ManifestRevision.Era)
 	}
 	w.adoptServers(v)
-	if w.View().ManifestRevision >= v.ManifestRevision {
+	own := w.View()
+	if !own.ManifestRevision.Before(v.ManifestRevision) || (own.Manifest != nil && version < own.Manifest.Version()) {
 		w.Confirm(confirmed)
 	}
 }
 
 func (w *Watcher) adoptServers(v View) {
+	if !v.ServersKnown || w.enterEra(v.ServersRevision.Era) != nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !v.ServersKnown || v.ServersRevision < w.View().ServersRevision {
+	if v.ServersRevision.Before(w.View().ServersRevision) {
 		return
 	}
 	now := w.Clock.Boot()
@@ -373,7 +415,7 @@
 		}
 	}
 	w.fleet.Replace(now, all)
-	w.publishServers(now, r.Version)
+	w.publishServers(now, r.Revision())
 }
 
 func (w *Watcher) applyServerChanges(r rows.Reply) {
@@ -383,8 +425,8 @@
 	w.fleet.StoreSucceeded(now)
 	w.storeDown = false
 	upTo := w.View().ServersRevision
-	if len(r.Rows) > 0 {
-		upTo = max(upTo, r.Version)
+	if len(r.Rows) > 0 && upTo.Before(r.Revision()) {
+		upTo = r.Revision()
 	}
 	for _, row := range r.Rows {
 		if row.Deleted {
@@ -423,23 +465,23 @@
 	}
 }
 
-// publishServers publishes a view of the list if it changed. Row is the store's
-// version of the last change in it.
-func (w *Watcher) publishServers(now clock.Millis, row int64) {
+// publishServers publishes a view of the list if it changed. At is the position of the
+// last change in it.
+func (w *Watcher) publishServers(now clock.Millis, at rows.Revision) {
 	w.fleet.DropExpired(now)
 	if delay, ok := w.fleet.UntilNextDrop(now); ok {
 		go w.dropExpiredLater(delay)
 	}
 	v := w.View()
 	list := w.fleet.List()
-	known := v.ServersKnown || row > 0
+	known := v.ServersKnown || at.Version > 0
 	same := v.ServersKnown == known && equalServers(v.Servers, list)
 	missing := w.fleet.Missing()
-	if same && v.StoreDown == w.storeDown && v.ServersRevision == row && maps.Equal(v.Missing, missing) {
+	if same && v.StoreDown == w.storeDown && v.ServersRevision == at && maps.Equal(v.Missing, missing) {
 		return
 	}
 	v.Servers, v.ServersKnown, v.ServersRevision, v.Missing, v.StoreDown =
-		list, known, row, missing, w.storeDown
+		list, known, at, missing, w.storeDown
 	if same {
 		w.publish(v)
 		return
