A restored manifest is not confirmed before it is settled

A manifest that withdraws keys may be acknowledged, lost in a restore and not yet written again. A host that had not seen it took the copy's manifest, or its own, for confirmed at the first read after the restore, and would have gone on taking the withdrawn keys for up to 4.65 s more, beyond the 5 s from the first acknowledgement, if it then lost its way to the store.

Now reads of a new era confirm only once the manifest has been written again (its version is higher, or its row has moved), or 2 s after the host saw the new era, the time that the records of servers have too. Until then the last confirmation from before goes on aging.

--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -22,6 +22,9 @@
 // the call counts as failed.
 var errStale = errors.New("stale reply: the store's version went back")
 
+// errUnsettled reports a manifest of a restored store that may be older than the newest one.
+var errUnsettled = errors.New("the restored manifest may lack changes")
+
 // follower reads one range of rows and watches its table for changes.
 type follower struct {
 	store rows.Store
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -16,7 +16,9 @@
 // out again, and its era rises. Positions are compared by era and version, so that late
 // replies from before the restore are told from newer ones, and each table is read again
 // in a new era. A manifest of another era is applied only if its own version is higher,
-// since the copy may hold an older one than that in force.
+// since the copy may hold an older one than that in force. The copy confirms nothing until
+// its manifest has been written again or the operators have had time for that: a newer one
+// that withdraws keys may be lost.
 //
 // Not every host has to read the store: Adopt applies the state of another host,
 // and Run may end and be called again.
@@ -93,7 +95,8 @@
 	// the 2 s that a change may take to be in force.
 	defaultConfirm = 1_400 * clock.Millis(1)
 	// recoveryGrace is the time after an outage within which the platform
-	// guarantees that the records of live servers are back.
+	// guarantees that the records of live servers are back. After a restore, operators
+	// have as long to write again what was lost.
 	recoveryGrace = 2_000 * clock.Millis(1)
 	// missingGrace is how long a removed record is still attributed to the last
 	// outage. It is within the 2 s for which a leaving server may get requests.
@@ -126,6 +129,8 @@
 	// era is the newest era of the store, valid if eraKnown is set.
 	era      int64
 	eraKnown bool
+	// restored is the last restore of the store that this host has seen.
+	restored restore
 	// recovered notifies when a read of the manifest succeeds after a failed one,
 	// updated at each change and confirmation.
 	recovered notifier
@@ -226,6 +231,23 @@
 	}
 }
 
+// restore is a restore of the store from a copy.
+type restore struct {
+	// until is the time on the boot-time clock up to which operators may have yet to
+	// write again what is lost, 0 without a restore.
+	until clock.Millis
+	// version and at are the version of the manifest in force before, and its position.
+	version int64
+	at      rows.Revision
+}
+
+// settled reports whether a manifest that was read from the restored store can be taken
+// for the newest one: it was written after the restore, or what was lost would have been.
+func (r restore) settled(now clock.Millis, version int64, at rows.Revision) bool {
+	writtenAgain := version > r.version || (version == r.version && at.Version != r.at.Version)
+	return now >= r.until || writtenAgain
+}
+
 // enterEra checks the era of a reply. In a new one the records of servers may be missing,
 // as after an outage. An older one is that of a late reply.
 func (w *Watcher) enterEra(era int64) error {
@@ -236,7 +258,12 @@
 	}
 	if w.eraKnown && era > w.era {
 		w.Log.Warn("The store was restored from a copy; all its tables are read again.", "era", era)
-		w.fleet.StoreFailed(w.Clock.Boot())
+		now := w.Clock.Boot()
+		w.fleet.StoreFailed(now)
+		w.restored = restore{until: now + recoveryGrace}
+		if v := w.View(); v.Manifest != nil {
+			w.restored.version, w.restored.at = v.Manifest.Version(), v.ManifestRevision
+		}
 	}
 	w.era, w.eraKnown = era, true
 	return nil
@@ -255,7 +282,14 @@
 			"era", reply.Era, "version", reply.Version)
 		return rows.Revision{}, errStale
 	}
-	w.applyManifest(reply.Rows, reply.Era)
+	version, at := w.applyManifest(reply.Rows, reply.Era)
+	w.mu.Lock()
+	settled := w.restored.settled(sent, version, at)
+	w.mu.Unlock()
+	if !settled {
+		w.Log.Info("The restored manifest may lack changes; it is not confirmed yet.", "version", version, "era", at.Era, "row", at.Version)
+		return rows.Revision{}, errUnsettled
+	}
 	w.confirmedDirect.Store(int64(sent))
 	w.Confirm(sent)
 	return reply.Revision(), nil
@@ -325,17 +359,18 @@
 }
 
 // applyManifest puts a newer manifest in force. Manifests never go back: rows that
-// are not newer than those in force are ignored.
-func (w *Watcher) applyManifest(all []rows.Row, era int64) {
+// are not newer than those in force are ignored. It returns the version of the manifest
+// in the rows and its position, 0 if they have none that can be decoded.
+func (w *Watcher) applyManifest(all []rows.Row, era int64) (int64, rows.Revision) {
+	at := rows.Revision{Era: era}
 	m, err := w.Source.Manifest(all)
 	if err != nil {
 		w.Log.Error("Decoding the manifest failed; the previous manifest stays in force.", "err", err)
-		return
+		return 0, at
 	}
 	if m == nil {
-		return
+		return 0, at
 	}
-	at := rows.Revision{Era: era}
 	for _, r := range all {
 		at.Version = max(at.Version, r.Version)
 	}
@@ -343,13 +378,14 @@
 	defer w.mu.Unlock()
 	v := w.View()
 	if v.Manifest != nil && !newerManifest(m.Version(), at, v.Manifest.Version(), v.ManifestRevision) {
-		return
+		return m.Version(), at
 	}
 	v.Manifest, v.ManifestRevision, v.ManifestRows = m, at, all
 	routes, services, keys := m.Counts()
 	w.Log.Info("Manifest in force.", "version", m.Version(), "era", at.Era, "row", at.Version,
 		"routes", routes, "services", services, "keys", keys)
 	w.publish(v)
+	return m.Version(), at
 }
 
 // newerManifest reports whether the manifest with a version at a position of the store is
@@ -368,10 +404,14 @@
 // that manifest's version.
 func (w *Watcher) Adopt(v View, version int64, confirmed clock.Millis) {
 	w.prepare()
+	// The era is entered before its manifest is in force.
+	current := v.ServersKnown && w.enterEra(v.ServersRevision.Era) == nil
 	if len(v.ManifestRows) > 0 {
 		w.applyManifest(v.ManifestRows, v.ManifestRevision.Era)
 	}
-	w.adoptServers(v)
+	if current {
+		w.adoptServers(v)
+	}
 	own := w.View()
 	if !own.ManifestRevision.Before(v.ManifestRevision) || (own.Manifest != nil && version < own.Manifest.Version()) {
 		w.Confirm(confirmed)
@@ -379,9 +419,6 @@
 }
 
 func (w *Watcher) adoptServers(v View) {
-	if !v.ServersKnown || w.enterEra(v.ServersRevision.Era) != nil {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if v.ServersRevision.Before(w.View().ServersRevision) {
