A restored store does not bring back servers that leave or have left

The copy that a store is restored from has the records of servers from before they reported to leave, or left.

Now the Fleet orders the records of a server by its start and its own counter (`sequence`), and remembers dropped servers for two minutes.

TestRestoredRecordOfLeavingServerIsNotUsed and TestHeldRecordCountsAfterRestoreGrace: without the hold (restoreGrace 0) both fail.

--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -7,14 +7,20 @@
 // record is missing stays in the list until then. While the store is up, a server
 // is dropped as soon as its record is missing.
 //
+// A restore of the store from a copy brings back older records: those of servers that
+// have left, and those of leaving servers from before they said so. Until the servers
+// have written again, such a record is held back. The order of a server's records is
+// that of its own counter.
+//
 // # Usage
 //
-//	f := fleet.New(2*clock.Second, 1*clock.Second)
+//	f := fleet.New(2*clock.Second, 1*clock.Second, 6*clock.Second)
 //	f.Replace(now, servers)
 //	f.Put(now, server)
 //	f.Remove(now, id)
 //	f.StoreFailed(now)
 //	f.StoreSucceeded(now)
+//	f.StoreRestored(now)
 //	f.DropExpired(now) // drops servers whose record is still missing
 //	list := f.List()
 package fleet
@@ -40,15 +46,35 @@
 	Slots         int
 	// Leaving servers finish their open requests and accept no new ones.
 	Leaving bool
+	// Sequence counts the records of an incarnation, 0 if the record has no count.
+	Sequence int64
 	// ColdLeft is the rest of the slow period after the server's start, in
 	// milliseconds.
 	ColdLeft clock.Millis
 }
 
+// Same reports whether two records differ in their count at most.
+func (s Server) Same(other Server) bool {
+	s.Sequence = other.Sequence
+	return s == other
+}
+
+// outdates reports whether the record is newer than another one of the same server.
+func (s Server) outdates(other Server) bool {
+	if s.Born != other.Born {
+		return other.Born > 0 && other.Born < s.Born
+	}
+	if s.Sequence != other.Sequence {
+		return other.Sequence < s.Sequence
+	}
+	return s.Leaving && !other.Leaving
+}
+
 // Fleet is the list of servers. It is not safe for concurrent use.
 type Fleet struct {
 	recoveryGrace clock.Millis
 	missingGrace  clock.Millis
+	restoreGrace  clock.Millis
 	servers       map[string]Server
 	// missing maps the ID of each server without a record to the time at which
 	// the server is dropped.
@@ -57,21 +83,48 @@
 	// recoveredAt is the end of the store's last outage.
 	recoveredAt clock.Millis
 	hadOutage   bool
-	list        []Server
+	// departed holds the last records of dropped servers.
+	departed map[string]departure
+	// held are records of a restored store that are older than those seen before,
+	// until heldUntil.
+	held      map[string]Server
+	heldUntil clock.Millis
+	list      []Server
 }
 
+// departure is the last record of a server, dropped at a time.
+type departure struct {
+	last Server
+	at   clock.Millis
+}
+
+// departureMemory is how long dropped servers are remembered, in milliseconds. The copy
+// that a store is restored from is some seconds old.
+const departureMemory = 2 * clock.Minute
+
 // New returns an empty Fleet. A server whose record is missing is dropped at the
 // latest recoveryGrace after the end of an outage, and missingGrace after the
-// record's removal if that was seen after the outage. Both are in milliseconds.
-func New(recoveryGrace, missingGrace clock.Millis) *Fleet {
+// record's removal if that was seen after the outage. After a restore, outdated records
+// are held back for restoreGrace. All are in milliseconds.
+func New(recoveryGrace, missingGrace, restoreGrace clock.Millis) *Fleet {
 	return &Fleet{
 		recoveryGrace: recoveryGrace,
 		missingGrace:  missingGrace,
+		restoreGrace:  restoreGrace,
 		servers:       map[string]Server{},
 		missing:       map[string]clock.Millis{},
+		departed:      map[string]departure{},
+		held:          map[string]Server{},
 	}
 }
 
+// StoreRestored records that the store was restored from a copy. Records may be missing as
+// after an outage.
+func (f *Fleet) StoreRestored(now clock.Millis) {
+	f.storeDown = true
+	f.heldUntil = now + f.restoreGrace
+}
+
 // StoreFailed records that a call to the store failed.
 func (f *Fleet) StoreFailed(_ clock.Millis) { f.storeDown = true }
 
@@ -101,10 +154,19 @@
 		f.hadOutage = true
 	}
 	f.storeDown = storeDown
+	before := f.servers
 	f.servers = make(map[string]Server, len(list))
 	for _, s := range list {
+		if old, ok := before[s.ID]; ok && now < f.heldUntil && old.outdates(s) {
+			s = old
+		}
 		f.servers[s.ID] = s
 	}
+	for id, s := range before {
+		if _, ok := f.servers[id]; !ok {
+			f.remember(now, s)
+		}
+	}
 	f.missing = map[string]clock.Millis{}
 	for id, dropAt := range missing {
 		if _, ok := f.servers[id]; ok {
@@ -120,18 +182,34 @@
 }
 
 // Put adds or updates a server from its record.
-func (f *Fleet) Put(_ clock.Millis, s Server) {
+func (f *Fleet) Put(now clock.Millis, s Server) {
 	delete(f.missing, s.ID)
-	if old, ok := f.servers[s.ID]; ok && old == s {
+	delete(f.held, s.ID)
+	old, ok := f.servers[s.ID]
+	if now < f.heldUntil && f.outdated(s) {
+		f.held[s.ID] = s
 		return
 	}
 	f.servers[s.ID] = s
-	f.list = nil
+	if !ok || !old.Same(s) {
+		f.list = nil
+	}
+}
+
+// outdated reports whether a record is not newer than the last one of a server that has
+// left, or older than that of a server in the list.
+func (f *Fleet) outdated(s Server) bool {
+	if old, ok := f.servers[s.ID]; ok {
+		return old.outdates(s)
+	}
+	d, ok := f.departed[s.ID]
+	return ok && !s.outdates(d.last)
 }
 
 // Remove handles the removal of a server's record: it drops the server, or marks it
 // as missing while an outage may be the cause.
 func (f *Fleet) Remove(now clock.Millis, id string) {
+	delete(f.held, id)
 	s, ok := f.servers[id]
 	if !ok {
 		return
@@ -142,7 +220,7 @@
 		}
 		return
 	}
-	f.drop(id)
+	f.drop(now, id)
 }
 
 // Replace updates the list from a snapshot read of all records.
@@ -165,21 +243,29 @@
 	}
 }
 
-// DropExpired drops the servers whose records were not renewed in time. It does
-// nothing while the store is down.
+// DropExpired drops the servers whose records were not renewed in time, and applies the
+// records that were held back for as long as they may be. It does nothing while the
+// store is down.
 func (f *Fleet) DropExpired(now clock.Millis) {
 	if f.storeDown {
 		return
 	}
 	for id, dropAt := range f.missing {
 		if now >= dropAt {
-			f.drop(id)
+			f.drop(now, id)
 		}
 	}
+	if now < f.heldUntil {
+		return
+	}
+	for _, s := range f.held {
+		f.Put(now, s)
+	}
 }
 
 // UntilNextDrop returns the time in milliseconds until DropExpired drops the next
-// server. It returns false if no record is missing or the store is down.
+// server or applies a record that is held back. It returns false if there is none or the
+// store is down.
 func (f *Fleet) UntilNextDrop(now clock.Millis) (clock.Millis, bool) {
 	first, ok := clock.Millis(0), false
 	for _, dropAt := range f.missing {
@@ -187,15 +273,29 @@
 			first, ok = dropAt, true
 		}
 	}
+	if len(f.held) > 0 && (!ok || f.heldUntil < first) {
+		first, ok = f.heldUntil, true
+	}
 	return max(first-now, 0), ok && !f.storeDown
 }
 
-func (f *Fleet) drop(id string) {
+func (f *Fleet) drop(now clock.Millis, id string) {
+	f.remember(now, f.servers[id])
 	delete(f.servers, id)
 	delete(f.missing, id)
 	f.list = nil
 }
 
+// remember keeps the last record of a server that is dropped.
+func (f *Fleet) remember(now clock.Millis, last Server) {
+	for id, d := range f.departed {
+		if now > d.at+departureMemory {
+			delete(f.departed, id)
+		}
+	}
+	f.departed[last.ID] = departure{last, now}
+}
+
 func (f *Fleet) ids() []string {
 	ids := make([]string, 0, len(f.servers))
 	for id := range f.servers {
--- a/internal/policy/fleet/fleet_test.go
+++ b/internal/policy/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 const (
 	recoveryGrace = 2_000 * clock.Millis(1)
 	missingGrace  = 1_200 * clock.Millis(1)
+	restoreGrace  = 6_000 * clock.Millis(1)
 )
 
 func ids(f *fleet.Fleet) []string {
@@ -23,7 +24,7 @@
 }
 
 func newFleet() *fleet.Fleet {
-	f := fleet.New(recoveryGrace, missingGrace)
+	f := fleet.New(recoveryGrace, missingGrace, restoreGrace)
 	f.StoreSucceeded(0)
 	f.Replace(0, []fleet.Server{{ID: "a"}, {ID: "b"}})
 	return f
@@ -103,7 +104,7 @@
 // drops that server itself when its time is over.
 func TestAdoptedListKeepsMissingServers(t *testing.T) {
 	c := qt.New(t)
-	first := fleet.New(2_000, 1_000)
+	first := fleet.New(2_000, 1_000, 6_000)
 	first.Put(0, fleet.Server{ID: "a"})
 	first.Put(0, fleet.Server{ID: "b"})
 	first.StoreFailed(100)
@@ -111,10 +112,56 @@
 	first.Replace(1_000, []fleet.Server{{ID: "a"}})
 	c.Assert(first.List(), qt.HasLen, 2)
 
-	second := fleet.New(2_000, 1_000)
+	second := fleet.New(2_000, 1_000, 6_000)
 	second.Adopt(1_100, first.List(), first.Missing(), false)
 	second.DropExpired(2_900)
 	c.Assert(second.List(), qt.HasLen, 2)
 	second.DropExpired(3_100)
 	c.Assert(second.List(), qt.DeepEquals, []fleet.Server{{ID: "a"}})
 }
+
+// A copy of the store has the records of servers from before they left or began to leave.
+func TestRestoredRecordOfLeavingServerIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(recoveryGrace, missingGrace, restoreGrace)
+	f.StoreSucceeded(0)
+	before := []fleet.Server{{ID: "gone", Born: 5, Sequence: 1}, {ID: "leaving", Born: 5, Sequence: 1}, {ID: "stays", Born: 5, Sequence: 1}}
+	f.Replace(0, before)
+	f.Put(100, fleet.Server{ID: "leaving", Born: 5, Sequence: 2, Leaving: true})
+	f.Remove(200, "gone")
+
+	f.StoreFailed(1_000)
+	f.StoreRestored(3_000)
+	f.StoreSucceeded(3_000)
+	f.Replace(3_000, before)
+	f.DropExpired(3_500)
+	c.Assert(ids(f), qt.DeepEquals, []string{"leaving", "stays"})
+	c.Assert(f.List()[0].Leaving, qt.IsTrue)
+
+	// A restarted server is another incarnation, and a living one goes on counting.
+	f.Put(4_000, fleet.Server{ID: "leaving", Born: 6, Sequence: 1})
+	f.Put(4_000, fleet.Server{ID: "gone", Born: 5, Sequence: 2})
+	c.Assert(ids(f), qt.DeepEquals, []string{"gone", "leaving", "stays"})
+	c.Assert(f.List()[1].Leaving, qt.IsFalse)
+}
+
+// A record that was held back counts if its server has not replaced it in time, unless the
+// store has removed it by then.
+func TestHeldRecordCountsAfterRestoreGrace(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(recoveryGrace, missingGrace, restoreGrace)
+	f.StoreSucceeded(0)
+	before := []fleet.Server{{ID: "lives", Born: 5, Sequence: 1}, {ID: "gone", Born: 5, Sequence: 1}}
+	f.Replace(0, before)
+	f.Remove(200, "lives")
+	f.Remove(200, "gone")
+	f.StoreRestored(3_000)
+	f.StoreSucceeded(3_000)
+	f.Replace(3_000, before)
+	c.Assert(f.List(), qt.HasLen, 0)
+	f.Remove(6_000, "gone")
+	left, ok := f.UntilNextDrop(6_000)
+	c.Assert(ok, qt.IsTrue)
+	f.DropExpired(6_000 + left)
+	c.Assert(ids(f), qt.DeepEquals, []string{"lives"})
+}
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -101,6 +101,10 @@
 	// missingGrace is how long a removed record is still attributed to the last
 	// outage. It is within the 2 s for which a leaving server may get requests.
 	missingGrace = 1_200 * clock.Millis(1)
+	// restoreGrace is the time after a restore within which servers have written their
+	// records again, and those of servers that are gone are removed: after three
+	// heartbeats of 1.2 s in the users' deployments.
+	restoreGrace = 6_000 * clock.Millis(1)
 )
 
 // Watcher follows the manifest and the list of servers. Its fields are set before Run.
@@ -139,7 +143,7 @@
 
 func (w *Watcher) prepare() {
 	w.once.Do(func() {
-		w.fleet = fleet.New(recoveryGrace, missingGrace)
+		w.fleet = fleet.New(recoveryGrace, missingGrace, restoreGrace)
 		w.viewID.Store(rand.Int64())
 	})
 }
@@ -259,7 +263,7 @@
 	if w.eraKnown && era > w.era {
 		w.Log.Warn("The store was restored from a copy; all its tables are read again.", "era", era)
 		now := w.Clock.Boot()
-		w.fleet.StoreFailed(now)
+		w.fleet.StoreRestored(now)
 		w.restored = restore{until: now + recoveryGrace}
 		if v := w.View(); v.Manifest != nil {
 			w.restored.version, w.restored.at = v.Manifest.Version(), v.ManifestRevision
@@ -546,7 +550,7 @@
 		return false
 	}
 	for i := range a {
-		if a[i] != b[i] {
+		if !a[i].Same(b[i]) {
 			return false
 		}
 	}
