Hosts register again when the store was restored

The copy that a store is restored from lacks the records of hosts that started since, and may lack the secret with which hosts authenticate one another. Hosts that read it dropped the missing ones from their lists (keepers and shares of limits are counted from these), a host that started on a copy without the secret created another one and could reach no host, and a restarted host's incarnation, the store's version, could be lower than before, so that its peers refused it as outdated.

Now each host that sees a restore reads the table, writes its record again if it is missing, and the secret from before in place of one that was created since; the host that created it learns of the change within its own reads. Hosts known before stay in the list. Incarnations have the era above the version.

--- a/internal/share/link/handshake.go
+++ b/internal/share/link/handshake.go
@@ -64,10 +64,20 @@
 	return err
 }
 
+// SetSecret replaces the secret for handshakes from now on.
+func (n *Node) SetSecret(secret []byte) { n.newSecret.Store(&secret) }
+
+func (n *Node) currentSecret() []byte {
+	if s := n.newSecret.Load(); s != nil {
+		return *s
+	}
+	return n.Secret
+}
+
 // sign returns the HMAC of the role, both nonces and both identities. Each part is
 // prefixed with its length, so that no two handshakes or roles sign the same input.
 func (n *Node) sign(role string, h hello, c challenge) []byte {
-	m := hmac.New(sha256.New, n.Secret)
+	m := hmac.New(sha256.New, n.currentSecret())
 	parts := [][]byte{
 		[]byte(role), []byte(h.From), []byte(h.To), h.Nonce, []byte(c.Name), c.Nonce,
 		binary.BigEndian.AppendUint64(nil, uint64(h.Incarnation)),
--- a/internal/share/link/link_test.go
+++ b/internal/share/link/link_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+func TestReplacedSecretHoldsForNewConnections(t *testing.T) {
+	c := qt.New(t)
+	b := start(c, &Node{Name: "b", Secret: []byte(goodSecret)}, nil)
+	address := b.Addr()
+	a := start(c, &Node{Name: "a", Secret: []byte("another secret of the tests"), Address: resolveTo(&address), RedialDelay: 1}, nil)
+	_, err := echo(a, "b")
+	c.Assert(errors.Is(err, ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+	a.SetSecret([]byte(goodSecret))
+	for err != nil && !t.Failed() {
+		_, err = echo(a, "b")
+		c.Check(err == nil || errors.Is(err, ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
 func TestDialerRejectsListenerWithoutSecret(t *testing.T) {
 	c := qt.New(t)
 	// This listener accepts any proof but cannot produce its own.
--- a/internal/share/link/node.go
+++ b/internal/share/link/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -61,7 +62,8 @@
 	// Incarnation increases with each start of the host.
 	Incarnation int64
 	// Listen is "IP:port"; port 0 lets the kernel choose.
-	Listen   string
+	Listen string
+	// Secret may be replaced later by SetSecret.
 	Secret   []byte
 	Clock    clock.Clock
 	Log      *log.Logger
@@ -86,6 +88,7 @@
 	WriteTimeout     clock.Millis
 	IdleTimeout      clock.Millis
 
+	newSecret  atomic.Pointer[[]byte]
 	mu         sync.Mutex
 	ctx        context.Context
 	listener   net.Listener
--- a/internal/share/member/member.go
+++ b/internal/share/member/member.go
@@ -6,15 +6,21 @@
 // The table also holds the shared secret with which hosts authenticate one another. The
 // first host creates it in a conditional write that fails if there is one already.
 //
+// After a restore of the store from an older copy, records and even the secret may be
+// missing. Each host then writes its record again, and the secret that it had before,
+// in place of one that a host created since. Hosts that are missing stay in the list.
+//
 // # Usage
 //
 //	r := &member.Registry{Store: store, Table: "hosts", Self: record, Clock: clk, Log: l}
 //	secret, incarnation, err := r.Join(ctx)
 //	go r.Run(ctx)
 //	for _, m := range r.Members() { ... }
+//	r.Restored() // the store was restored from a copy
 package member
 
 import (
+	"bytes"
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
@@ -64,14 +70,48 @@
 	Log   *logs.Limited
 	// OnOther, if set, is called with each row that is no host's record.
 	OnOther func(r rows.Row) error
+	// OnSecret, if set, is called with a secret that replaces the one from Join.
+	OnSecret func(secret []byte)
+	// OnRestored, if set, is called when this host has registered again after a restore.
+	OnRestored func()
 	// ReadsStore reports whether this host reads the records periodically. Nil
 	// means always.
 	ReadsStore func() bool
 
-	mu      sync.Mutex
-	members []Member
-	version rows.Revision
-	joined  bool
+	once     sync.Once
+	restored chan struct{}
+	mu       sync.Mutex
+	members  []Member
+	version  rows.Revision
+	joined   bool
+	// earlier are the members known in earlier eras of the store.
+	earlier []Member
+	// secret is the shared secret, secretEra the era in which this host last found it in
+	// the store.
+	secret    []byte
+	secretEra int64
+}
+
+// records is what the table of hosts holds for this host.
+type records struct {
+	era int64
+	// secret is the row of the secret, with version 0 if there is none.
+	secret rows.Row
+	// registered is set if this host has a record.
+	registered bool
+}
+
+func (r *Registry) prepare() {
+	r.once.Do(func() { r.restored = make(chan struct{}, 1) })
+}
+
+// Restored makes Run register this host again, since the store was restored from a copy.
+func (r *Registry) Restored() {
+	r.prepare()
+	select {
+	case r.restored <- struct{}{}:
+	default: // it is to register again already
+	}
 }
 
 // Join writes this host's record and returns the shared secret and the incarnation, a
@@ -91,27 +131,84 @@
 }
 
 func (r *Registry) join(ctx context.Context) ([]byte, int64, error) {
-	secret, err := r.readRecords(ctx)
+	found, err := r.readRecords(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
-	if secret == nil {
+	secret := found.secret.Value
+	if found.secret.Version == 0 {
 		secret, err = r.createSecret(ctx)
 		if err != nil {
 			return nil, 0, err
 		}
 	}
+	reply, err := r.register(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	r.mu.Lock()
+	r.secret, r.secretEra = secret, found.era
+	r.mu.Unlock()
+	r.addSelf()
+	if reply.Era > found.era {
+		r.Restored()
+	}
+	return secret, incarnation(reply.Revision()), nil
+}
+
+// register writes this host's record.
+func (r *Registry) register(ctx context.Context) (rows.Reply, error) {
 	value, err := json.Marshal(r.Self)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "encoding this host's record")
+		return rows.Reply{}, errors.Wrap(err, "encoding this host's record")
 	}
 	row := rows.Row{Table: r.Table, Key: memberKeyPrefix + r.Self.Name, Value: value}
-	reply, err := r.Store.Commit(ctx, rows.Change{Writes: []rows.Row{row}})
+	return r.Store.Commit(ctx, rows.Change{Writes: []rows.Row{row}})
+}
+
+// versionBits is the number of bits of an incarnation for the store's version: at a
+// thousand transactions a second the version takes 35 years to fill them.
+const versionBits = 40
+
+// incarnation returns a number that rises with the position in the store, also across a
+// restore.
+func incarnation(at rows.Revision) int64 { return at.Era<<versionBits | at.Version }
+
+// rejoin registers this host again after a restore.
+func (r *Registry) rejoin(ctx context.Context) error {
+	found, err := r.readRecords(ctx)
 	if err != nil {
-		return nil, 0, err
+		return err
 	}
-	r.addSelf()
-	return secret, reply.Version, nil
+	if err := r.restoreSecret(ctx, found); err != nil {
+		return err
+	}
+	if found.registered {
+		return nil
+	}
+	_, err = r.register(ctx)
+	return err
+}
+
+// restoreSecret writes the secret from before a restore again if it is lost. Of several
+// secrets the one from the earliest era remains, as most hosts have it.
+func (r *Registry) restoreSecret(ctx context.Context, found records) error {
+	r.mu.Lock()
+	secret, era := r.secret, r.secretEra
+	r.mu.Unlock()
+	same := found.secret.Version > 0 && bytes.Equal(found.secret.Value, secret)
+	if !same && era < found.era {
+		written := rows.Row{Table: r.Table, Key: secretKey, Value: secret}
+		expected := rows.Row{Table: r.Table, Key: secretKey, Version: found.secret.Version}
+		if _, err := r.Store.Commit(ctx, rows.Change{Expect: []rows.Row{expected}, Writes: []rows.Row{written}}); err != nil {
+			return err
+		}
+		r.Log.Warn("The secret of the hosts was written again after a restore of the store.", "era", found.era)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.secretEra = max(r.secretEra, found.era)
+	return nil
 }
 
 // addSelf adds this host to the members, since their records were read before its own
@@ -140,26 +237,26 @@
 	if !errors.Is(err, rows.ErrConflict) {
 		return nil, err
 	}
-	written, err := r.readRecords(ctx)
-	if err == nil && written == nil {
+	found, err := r.readRecords(ctx)
+	if err == nil && found.secret.Version == 0 {
 		err = errors.New("the secret shared by the hosts is missing after a write conflict")
 	}
-	return written, err
+	return found.secret.Value, err
 }
 
-// readRecords reads all records and returns the secret, nil if there is none.
-func (r *Registry) readRecords(ctx context.Context) ([]byte, error) {
+// readRecords reads all records.
+func (r *Registry) readRecords(ctx context.Context) (records, error) {
 	reply, err := r.Store.Read(ctx, rows.Range{Table: r.Table})
 	if err != nil {
-		return nil, err
+		return records{}, err
 	}
-	var secret []byte
+	found := records{era: reply.Era}
 	var members []Member
 	newest := rows.Revision{Era: reply.Era}
 	for _, row := range reply.Rows {
 		newest.Version = max(newest.Version, row.Version)
 		if row.Key == secretKey {
-			secret = row.Value
+			found.secret = row
 			continue
 		}
 		if !strings.HasPrefix(row.Key, memberKeyPrefix) {
@@ -171,10 +268,29 @@
 			r.Log.Warn("A host's record was ignored: it is invalid.", "key", row.Key, "err", err)
 			continue
 		}
+		found.registered = found.registered || m.Name == r.Self.Name
 		members = append(members, m)
 	}
 	r.Adopt(members, newest)
-	return secret, nil
+	r.checkSecret(found)
+	return found, nil
+}
+
+// checkSecret adopts a secret that has changed in the same era: the one from before a
+// restore, written again by a host that had it.
+func (r *Registry) checkSecret(found records) {
+	r.mu.Lock()
+	changed := r.secret != nil && found.era == r.secretEra && found.secret.Version > 0 && !bytes.Equal(found.secret.Value, r.secret)
+	if changed {
+		r.secret = found.secret.Value
+	}
+	r.mu.Unlock()
+	if changed {
+		r.Log.Warn("The secret of the hosts has changed.", "era", found.era)
+		if r.OnSecret != nil {
+			r.OnSecret(found.secret.Value)
+		}
+	}
 }
 
 // readOther passes a row on that is no host's record.
@@ -196,7 +312,15 @@
 	if newest.Before(r.version) {
 		return
 	}
+	if newest.Era > r.version.Era {
+		r.earlier = r.members
+	}
 	members = append([]Member(nil), members...)
+	for _, e := range r.earlier {
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.Name == e.Name }) {
+			members = append(members, e)
+		}
+	}
 	if r.joined && !slices.ContainsFunc(members, func(m Member) bool { return m.Name == r.Self.Name }) {
 		members = append(members, r.Self)
 	}
@@ -209,22 +333,59 @@
 
 // Run reads the records periodically until the context ends.
 func (r *Registry) Run(ctx context.Context) {
+	r.prepare()
 	wait := minReadPeriod
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.restored:
+			r.rejoinWithRetries(ctx)
+			wait = minReadPeriod
+			continue
 		case <-r.Clock.After(wait + clock.Millis(rand.N(int64(wait/4)))):
 		}
 		if r.ReadsStore == nil || r.ReadsStore() {
-			if _, err := r.readRecords(ctx); err != nil && ctx.Err() == nil {
+			found, err := r.readRecords(ctx)
+			if err != nil && ctx.Err() == nil {
 				r.Log.Warn("Reading the records of the hosts failed; retrying.", "err", err)
 			}
+			if err == nil && r.joinedBefore(found.era) {
+				r.Restored()
+			}
 		}
 		wait = min(2*wait, maxReadPeriod)
 	}
 }
 
+// joinedBefore reports whether this host has registered in an earlier era only.
+func (r *Registry) joinedBefore(era int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.secret != nil && r.secretEra < era
+}
+
+// rejoinWithRetries registers this host again, at a random moment since all hosts do so at
+// a time.
+func (r *Registry) rejoinWithRetries(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Clock.After(clock.Millis(rand.N(int64(minRetryDelay)))):
+		}
+		err := r.rejoin(ctx)
+		if err == nil {
+			break
+		}
+		r.Log.Warn("Registering this host again after a restore failed; retrying.", "err", err)
+		<-r.Clock.After(minRetryDelay)
+	}
+	if r.OnRestored != nil {
+		r.OnRestored()
+	}
+}
+
 // Version returns the position of the newest record in the store.
 func (r *Registry) Version() rows.Revision {
 	r.mu.Lock()
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -117,6 +117,8 @@
 	ConfirmEvery clock.Millis
 	// Changed is called after each change of the view, one call at a time.
 	Changed func(View)
+	// OnRestored, if set, is called when the store was restored from a copy.
+	OnRestored func()
 	// SlowRetry reports whether failed reads are retried slowly, since other
 	// hosts read the store as well. Nil means never.
 	SlowRetry func() bool
@@ -268,6 +270,9 @@
 		if v := w.View(); v.Manifest != nil {
 			w.restored.version, w.restored.at = v.Manifest.Version(), v.ManifestRevision
 		}
+		if w.OnRestored != nil {
+			w.OnRestored()
+		}
 	}
 	w.era, w.eraKnown = era, true
 	return nil
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -161,6 +161,7 @@
 	cluster := newCluster(s, c, l, plain, counters)
 	p.Broker, p.Guard = cluster.Broker, cluster.Guard
 	cluster.Mirror.Watcher = w
+	w.OnRestored = cluster.Registry.Restored
 	p.Broker.CachedSegments = platform.Engines{Client: p.Client}.CachedSegments
 	p.Hosts = cluster.Count
 	return &proxyd.Host{
@@ -298,5 +299,6 @@
 	}
 	cluster.Broker.Guard = cluster.Guard
 	cluster.Registry.OnOther = cluster.Guard.ReadRow
+	cluster.Registry.OnSecret = cluster.Link.SetSecret
 	return cluster
 }
