Quarantines are stored again when the store was restored

The record of a quarantined prompt segment, from which hosts that start learn of it, is lost in a restore if the copy is older. If all hosts started afterwards, prompts with the segment crashed servers again.

Now the host that has detected a segment shares and stores its entry once more after it has registered again. A host that was restarted since has no entries of its own; the other hosts still refuse the segment, and a starting host asks them.

TestQuarantineIsStoredAgainAfterRestore (StoreRestored is new).

--- a/internal/share/broker/poison_test.go
+++ b/internal/share/broker/poison_test.go
@@ -11,6 +11,7 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/fakes/memdb"
+	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -145,3 +146,27 @@
 		return segment == "poison"
 	})
 }
+
+func TestQuarantineIsStoredAgainAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	store := memdb.New(clock.System())
+	old := store.Copy()
+	g := &group{c: c, hosts: map[string]*host{}, settings: grant.Defaults(), commit: store.For("h0").Commit}
+	g.add("h0", 0)
+	incarnations := newServers(4)
+	g.setServers(incarnations)
+	for n := range 3 {
+		c.Assert(g.crashServer("h0", fmt.Sprint("p", n), incarnations), qt.IsTrue)
+		<-clock.System().After(settled)
+	}
+	stored := func() bool {
+		reply, err := store.For("test").Read(context.Background(), rows.Range{Table: "hosts"})
+		c.Assert(err, qt.IsNil)
+		return len(reply.Rows) > 0
+	}
+	waitFor(c, stored)
+	store.Restore(old)
+	c.Assert(stored(), qt.IsFalse)
+	g.hosts["h0"].guard.StoreRestored()
+	waitFor(c, stored)
+}
--- a/internal/share/guard/guard.go
+++ b/internal/share/guard/guard.go
@@ -45,6 +45,9 @@
 	maxQuarantined = 200
 )
 
+// segmentKey names a segment of a service.
+type segmentKey struct{ service, segment string }
+
 // Guard holds the observations and the quarantine of all services. Its exported fields are
 // set before Register.
 type Guard struct {
@@ -66,6 +69,9 @@
 	detectors  map[string]*poison.Detector
 	quarantine map[string]map[string]clock.Millis // by service and segment: the end by Clock.Boot
 	settling   map[string]bool
+	// detected are the entries that this host has found, whose records it writes, by the
+	// end of their quarantine by Clock.Boot.
+	detected map[segmentKey]clock.Millis
 	// expired are the keys of records whose quarantine has ended.
 	expired map[string]bool
 	// pending are the entries that Run has yet to share.
@@ -78,6 +84,7 @@
 	g.detectors = map[string]*poison.Detector{}
 	g.quarantine = map[string]map[string]clock.Millis{}
 	g.settling = map[string]bool{}
+	g.detected = map[segmentKey]clock.Millis{}
 	g.expired = map[string]bool{}
 	g.pending = make(chan Entry, maxQuarantined)
 	if g.Link != nil {
@@ -188,20 +195,43 @@
 		g.Log.Warn("A prompt segment is quarantined: prompts with it crash servers.", "service", service, "segment", name, "for", quarantineTime)
 		v := Entry{Service: service, Segment: name, Left: quarantineTime}
 		g.add(v)
+		g.detected[segmentKey{service, name}] = g.Clock.Boot() + v.Left
 		entries = append(entries, v)
 	}
 	e := t.TakeObservations()
 	g.mu.Unlock()
 	g.shareObservations(service, e)
+	g.enqueue(entries)
+}
+
+// enqueue lets Run share entries.
+func (g *Guard) enqueue(entries []Entry) {
 	for _, v := range entries {
 		select {
 		case g.pending <- v:
 		default:
-			g.Log.Warn("A quarantine is not shared: too many wait.", "service", service, "segment", v.Segment)
+			g.Log.Warn("A quarantine is not shared: too many wait.", "service", v.Service, "segment", v.Segment)
 		}
 	}
 }
 
+// StoreRestored shares the entries that this host has found again, since their records may
+// be lost.
+func (g *Guard) StoreRestored() {
+	now := g.Clock.Boot()
+	var entries []Entry
+	g.mu.Lock()
+	for k, until := range g.detected {
+		if until <= now {
+			delete(g.detected, k)
+			continue
+		}
+		entries = append(entries, Entry{Service: k.service, Segment: k.segment, Left: until - now})
+	}
+	g.mu.Unlock()
+	g.enqueue(entries)
+}
+
 // add quarantines a segment, and reports whether it was not. The caller holds the lock.
 func (g *Guard) add(v Entry) bool {
 	all := g.quarantine[v.Service]
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -299,6 +299,7 @@
 	}
 	cluster.Broker.Guard = cluster.Guard
 	cluster.Registry.OnOther = cluster.Guard.ReadRow
+	cluster.Registry.OnRestored = cluster.Guard.StoreRestored
 	cluster.Registry.OnSecret = cluster.Link.SetSecret
 	return cluster
 }
