A starting host asks others for the manifest that a restored store lacks

Its own read cannot tell that the store was restored.

Now a host asks up to four others for their manifest when it starts, before it reads the store, and when it sees a restore. The reply also says for how long operators may have yet to write again, so that a starting host confirms the copy's manifest no earlier than the others do.

TestStartingHostGetsManifestThatTheRestoredStoreLacks and TestStartingHostDoesNotConfirmUnsettledManifest failed before and pass now.

--- a/internal/share/mirror/mirror.go
+++ b/internal/share/mirror/mirror.go
@@ -15,6 +15,9 @@
 // host cannot confirm. The hosts need no agreement on the reader: a second reader
 // only adds calls to the store.
 //
+// A host that starts, and each host after a restore of the store, also asks some others
+// for their manifest: the restored store may have an older one.
+//
 // # Usage
 //
 //	m := &mirror.Mirror{
@@ -56,6 +59,8 @@
 	// milliseconds. It doubles with each failure, up to maxBackoff.
 	minBackoff = 1_000 * clock.Millis(1)
 	maxBackoff = 4_000 * clock.Millis(1)
+	// maxAsked is the number of hosts that are asked for their manifest.
+	maxAsked = 4
 	// checkPeriod is the time between two checks which host reads the store, in
 	// milliseconds, on a host that reads itself or finds no reader. Jitter makes
 	// it up to twice as long.
@@ -120,6 +125,7 @@
 // Run keeps the Watcher up to date until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.awaitJoined(ctx)
+	m.askManifests(ctx)
 	reader := &storeReader{watcher: m.Watcher}
 	defer reader.stop()
 	for ctx.Err() == nil {
@@ -225,6 +231,51 @@
 	return name
 }
 
+// Restored asks other hosts for their manifest after a restore of the store.
+func (m *Mirror) Restored() { go m.askManifests(context.Background()) }
+
+// askManifests asks some other hosts for their manifest, in case it is newer than that of
+// the store.
+func (m *Mirror) askManifests(ctx context.Context) {
+	if !m.Joined() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shortTimeout.Duration())
+	defer cancel()
+	others := slices.DeleteFunc(slices.Clone(m.Members.Members()), func(o member.Member) bool { return o.Name == m.Self })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var all sync.WaitGroup
+	for _, o := range others[:min(len(others), maxAsked)] {
+		all.Go(func() {
+			at := m.Watcher.View().ManifestRevision
+			sent := m.Clock.Boot()
+			var got reply
+			q := queryMessage{ManifestOnly: true, Row: at.Version, ManifestEra: at.Era, Age: m.Watcher.Age(sent)}
+			err := m.Link.Call(ctx, o.Name, kindQuery, q, &got)
+			if err == nil {
+				err = m.adoptManifest(sent, got)
+			}
+			if err != nil {
+				m.Log.Debug("Asking a host for its manifest failed.", "host", o.Name, "err", err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// adoptManifest applies the reply to a query for the manifest only.
+func (m *Mirror) adoptManifest(sent clock.Millis, got reply) error {
+	view, confirmed, _, err := got.decode(sent)
+	if err != nil {
+		return err
+	}
+	if got.RestoreLeft > 0 {
+		m.Watcher.AdoptRestore(sent+got.RestoreLeft, got.ManifestVersion, view.ManifestRevision)
+	}
+	m.Watcher.Adopt(view, got.ManifestVersion, confirmed)
+	return nil
+}
+
 // query queries one host and reports whether this host's state is fresh afterwards. With
 // mustRead, the queried host must read the store itself. The query to the current
 // source is a long poll.
@@ -268,20 +319,13 @@
 
 // adopt applies the reply to a query that was sent at a time of the boot-time clock.
 func (m *Mirror) adopt(name string, sent clock.Millis, got reply) error {
-	view := watch.View{}
+	view, confirmed, in, err := got.decode(sent)
+	if err != nil {
+		return err
+	}
 	if len(got.Body) > 0 {
-		var in body
-		if err := unpack(got.Body, &in); err != nil {
-			return err
-		}
-		view = in.view(sent, got.Missing)
 		m.Members.Adopt(in.Members, rows.Revision{Era: in.MembersEra, Version: in.MembersVersion})
 	}
-	view.ManifestRevision = rows.Revision{Era: got.ManifestEra, Version: got.Row}
-	confirmed := watch.NeverConfirmed
-	if got.Known {
-		confirmed = sent + got.Confirmed
-	}
 	m.Watcher.Adopt(view, got.ManifestVersion, confirmed)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/share/mirror/mirror_test.go
+++ b/internal/share/mirror/mirror_test.go
@@ -303,3 +303,33 @@
 	c.Assert(g.all(knows), qt.IsTrue)
 	c.Assert(len(g.readers()) < len(g.hosts), qt.IsTrue)
 }
+
+// The operator has not yet written the newest manifest again when a host starts.
+func TestStartingHostGetsManifestThatTheRestoredStoreLacks(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, "d1", "d2", "d3")
+	old := g.store.Copy()
+	g.store.Put("op", "manifest", []byte("2"))
+	eventually(func() bool { return g.all(func(h *host) bool { return h.version() == 2 }) })
+	g.store.Restore(old)
+	g.add("h3", "d4")
+	started := g.hosts[3]
+	eventually(func() bool { return started.version() != 0 })
+	c.Assert(started.version(), qt.Equals, int64(2))
+}
+
+// Its own first read cannot tell a starting host that the store was restored.
+func TestStartingHostDoesNotConfirmUnsettledManifest(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, "d1", "d2", "d3")
+	old := g.store.Copy()
+	confirmed := func(h *host) bool { return h.watcher.Age(clock.System().Boot()) < maxApplyDelay }
+	eventually(func() bool { return g.all(confirmed) })
+	g.store.Restore(old)
+	eventually(func() bool { return !g.all(confirmed) })
+	g.add("h3", "d4")
+	started := g.hosts[3]
+	eventually(func() bool { return started.version() != 0 })
+	c.Assert(confirmed(started), qt.IsFalse)
+	eventually(func() bool { return confirmed(started) })
+}
--- a/internal/share/mirror/wire.go
+++ b/internal/share/mirror/wire.go
@@ -31,6 +31,8 @@
 	MembersEra  int64
 	// Age is the age of the manifest's confirmation when the query was sent.
 	Age clock.Millis
+	// ManifestOnly asks for the manifest without servers and hosts, at once.
+	ManifestOnly bool
 	// Wait is how long the reply may wait for newer state, in milliseconds.
 	Wait clock.Millis
 }
@@ -46,6 +48,9 @@
 	ManifestVersion int64
 	Known           bool
 	Confirmed       clock.Millis
+	// RestoreLeft is the time until operators have written again what a restore of the
+	// store has lost, in milliseconds from the arrival of the query; 0 without a restore.
+	RestoreLeft clock.Millis
 	// Direct is set if the host itself reads the store successfully. Other hosts
 	// may confirm the manifest, but following them could form a cycle.
 	Direct bool
@@ -86,6 +91,25 @@
 	}
 }
 
+// decode returns the state in a reply to a query that was sent at a time of the boot-time
+// clock, and the time at which its manifest was confirmed.
+func (r reply) decode(sent clock.Millis) (watch.View, clock.Millis, body, error) {
+	var in body
+	view := watch.View{}
+	if len(r.Body) > 0 {
+		if err := unpack(r.Body, &in); err != nil {
+			return view, 0, in, err
+		}
+		view = in.view(sent, r.Missing)
+	}
+	view.ManifestRevision = rows.Revision{Era: r.ManifestEra, Version: r.Row}
+	confirmed := watch.NeverConfirmed
+	if r.Known {
+		confirmed = sent + r.Confirmed
+	}
+	return view, confirmed, in, nil
+}
+
 // bodyCache caches the last encoded body, since many hosts query the same one.
 type bodyCache struct {
 	key  bodyKey
@@ -117,7 +141,7 @@
 		viewID := m.Watcher.ViewID()
 		confirmed := received - m.Watcher.Age(received)
 		newer := viewID != q.ViewID || members.Before(m.Members.Version())
-		if newer || q.Wait == 0 || confirmed > received-q.Age+minAgeGain {
+		if newer || q.ManifestOnly || q.Wait == 0 || confirmed > received-q.Age+minAgeGain {
 			return m.reply(q, received, viewID)
 		}
 		select {
@@ -149,6 +173,10 @@
 	if v.Manifest != nil {
 		r.ManifestVersion = v.Manifest.Version()
 	}
+	r.RestoreLeft = max(m.Watcher.RestoreUntil()-received, 0)
+	if q.ManifestOnly {
+		return r.withManifest(v, q)
+	}
 	members := m.Members.Version()
 	if viewID == q.ViewID && !(rows.Revision{Era: q.MembersEra, Version: q.Members}).Before(members) {
 		return r, nil
@@ -184,6 +212,16 @@
 	return r, nil
 }
 
+// withManifest adds the manifest if the querying host has another one.
+func (r reply) withManifest(v watch.View, q queryMessage) (reply, error) {
+	if v.ManifestRevision == (rows.Revision{Era: q.ManifestEra, Version: q.Row}) {
+		return r, nil
+	}
+	packed, err := pack(body{Manifest: v.ManifestRows})
+	r.Body = packed
+	return r, err
+}
+
 // pack encodes and compresses a body. Hosts may have links of 10 Mbit/s, and
 // manifests and lists of servers are highly repetitive.
 func pack(value body) ([]byte, error) {
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -169,6 +169,24 @@
 // makes the age at least an hour, which is to exceed every limit on the age.
 const NeverConfirmed = -clock.Hour
 
+// RestoreUntil returns the time on the boot-time clock up to which operators may have yet
+// to write again what a restore of the store has lost, 0 without a restore.
+func (w *Watcher) RestoreUntil() clock.Millis {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.restored.until
+}
+
+// AdoptRestore records a restore of the store that another host has seen. Until is as for
+// RestoreUntil; version and at are the version and the position of its manifest.
+func (w *Watcher) AdoptRestore(until clock.Millis, version int64, at rows.Revision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if until > w.restored.until {
+		w.restored = restore{until: until, version: version, at: at}
+	}
+}
+
 // Age returns the time since the manifest was confirmed, in milliseconds. Now is a
 // time of the boot-time clock.
 func (w *Watcher) Age(now clock.Millis) clock.Millis { return age(&w.confirmed, now) }
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -161,7 +161,10 @@
 	cluster := newCluster(s, c, l, plain, counters)
 	p.Broker, p.Guard = cluster.Broker, cluster.Guard
 	cluster.Mirror.Watcher = w
-	w.OnRestored = cluster.Registry.Restored
+	w.OnRestored = func() {
+		cluster.Registry.Restored()
+		cluster.Mirror.Restored()
+	}
 	p.Broker.CachedSegments = platform.Engines{Client: p.Client}.CachedSegments
 	p.Hosts = cluster.Count
 	return &proxyd.Host{
