A starting host knows the servers while a restored manifest is unsettled

Hosts that started within 2 s of a restore refused all with 503 (NotReady): the list of servers was read only once the manifest was confirmed.

Now the followers start after the first read of the manifest, confirmed or not; until it settles, the confirmation that other hosts had before the restore holds, and ages. A host that has a manifest from another host enters its era, so that its own first read in a later one counts as after a restore (one run of the tests of package mirror hung on that; its own test is not written).

--- a/internal/share/mirror/mirror_test.go
+++ b/internal/share/mirror/mirror_test.go
@@ -314,7 +314,7 @@
 	g.store.Restore(old)
 	g.add("h3", "d4")
 	started := g.hosts[3]
-	eventually(func() bool { return started.version() != 0 })
+	c.Assert(inTime(func() bool { return started.version() != 0 }), qt.IsTrue)
 	c.Assert(started.version(), qt.Equals, int64(2))
 }
 
@@ -326,10 +326,22 @@
 	confirmed := func(h *host) bool { return h.watcher.Age(clock.System().Boot()) < maxApplyDelay }
 	eventually(func() bool { return g.all(confirmed) })
 	g.store.Restore(old)
-	eventually(func() bool { return !g.all(confirmed) })
+	c.Assert(inTime(func() bool {
+		return g.all(func(h *host) bool { return h.watcher.RestoreUntil() > 0 && !confirmed(h) })
+	}), qt.IsTrue)
 	g.add("h3", "d4")
 	started := g.hosts[3]
-	eventually(func() bool { return started.version() != 0 })
+	c.Assert(inTime(func() bool { return started.version() != 0 }), qt.IsTrue)
 	c.Assert(confirmed(started), qt.IsFalse)
-	eventually(func() bool { return confirmed(started) })
+	c.Assert(inTime(func() bool { return confirmed(started) }), qt.IsTrue)
+}
+
+// inTime waits until a condition holds and reports whether it does within five seconds.
+func inTime(condition func() bool) bool {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/share/watch/restore_test.go
+++ b/internal/share/watch/restore_test.go
@@ -8,6 +8,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/memdb"
+	"siskinsaddle/internal/plat/rows"
 )
 
 // maxApplyTime is the time within which a change has to be in force.
@@ -129,3 +130,18 @@
 	c.Assert(inTime(func() bool { return w.Age(clk.Boot()) > 300 }), qt.IsTrue)
 	c.Assert(within(3*time.Second, func() bool { return w.Age(clk.Boot()) < 300 }), qt.IsTrue)
 }
+
+// The servers must not wait for the confirmation of the manifest.
+func TestServersAreKnownWhileRestoredManifestIsUnsettled(t *testing.T) {
+	c := qt.New(t)
+	clk := clock.System()
+	s := memdb.New(clk)
+	row := s.Put("op", "manifest", []byte("1"))
+	s.Put("servers", "a", []byte("10.0.0.1:1"))
+	w := newWatcher(s)
+	w.AdoptRestore(clk.Boot()+2_000, 1, rows.Revision{Era: 1, Version: row})
+	run(c, w)
+	c.Assert(within(time.Second, func() bool { return len(w.View().Servers) == 1 }), qt.IsTrue)
+	c.Assert(w.Age(clk.Boot()) > clock.Minute, qt.IsTrue)
+	c.Assert(within(3*time.Second, func() bool { return w.Age(clk.Boot()) < clock.Minute }), qt.IsTrue)
+}
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -296,7 +296,8 @@
 	return nil
 }
 
-// confirm reads the manifest once and returns the position of that read.
+// confirm reads the manifest once and returns the position of that read, also with
+// errUnsettled.
 func (w *Watcher) confirm(ctx context.Context) (rows.Revision, error) {
 	sent := w.Clock.Boot()
 	reply, err := w.Store.Read(ctx, w.Source.ManifestRange)
@@ -315,7 +316,7 @@
 	w.mu.Unlock()
 	if !settled {
 		w.Log.Info("The restored manifest may lack changes; it is not confirmed yet.", "version", version, "era", at.Era, "row", at.Version)
-		return rows.Revision{}, errUnsettled
+		return reply.Revision(), errUnsettled
 	}
 	w.confirmedDirect.Store(int64(sent))
 	w.Confirm(sent)
@@ -323,11 +324,12 @@
 }
 
 // confirmFirst retries until a read succeeds or the context ends. During a store
-// outage, these reads alone detect its end.
+// outage, these reads alone detect its end. A read that does not confirm the manifest of a
+// restored store suffices, so that a starting host gets to know the servers.
 func (w *Watcher) confirmFirst(ctx context.Context) (rows.Revision, bool) {
 	for first := true; ctx.Err() == nil; first = false {
 		after, err := w.confirm(ctx)
-		if err == nil {
+		if err == nil || errors.Is(err, errUnsettled) {
 			return after, true
 		}
 		if first && ctx.Err() == nil {
@@ -344,7 +346,9 @@
 	if every == 0 {
 		every = defaultConfirm
 	}
-	failing := false
+	w.mu.Lock()
+	failing := w.restored.until > w.Clock.Boot()
+	w.mu.Unlock()
 	for {
 		wait := every
 		if failing {
@@ -431,7 +435,10 @@
 // that manifest's version.
 func (w *Watcher) Adopt(v View, version int64, confirmed clock.Millis) {
 	w.prepare()
-	// The era is entered before its manifest is in force.
+	// The era is entered before its manifest is in force. An older one changes nothing.
+	if v.ManifestRevision.Era > 0 {
+		_ = w.enterEra(v.ManifestRevision.Era)
+	}
 	current := v.ServersKnown && w.enterEra(v.ServersRevision.Era) == nil
 	if len(v.ManifestRows) > 0 {
 		w.applyManifest(v.ManifestRows, v.ManifestRevision.Era)
--- a/internal/share/watch/watch_test.go
+++ b/internal/share/watch/watch_test.go
@@ -44,13 +44,22 @@
 }
 
 func startWatcher(c *qt.C, s *memdb.Store) *watch.Watcher {
-	w := &watch.Watcher{
+	w := newWatcher(s)
+	run(c, w)
+	return w
+}
+
+func newWatcher(s *memdb.Store) *watch.Watcher {
+	return &watch.Watcher{
 		Store:        s.For("host"),
 		Clock:        clock.System(),
 		Source:       source,
 		Log:          logs.Limit(logs.Discard(), clock.System(), nil),
 		ConfirmEvery: 10,
 	}
+}
+
+func run(c *qt.C, w *watch.Watcher) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -61,7 +70,6 @@
 		cancel()
 		<-done
 	})
-	return w
 }
 
 // eventually waits until a condition holds. If it never does, the test times out.
