The soak restores the store from older copies

StoreRestored takes the store down, brings it back from a random copy of the last 8 s, and has the operator and the servers write again what is lost within 1.5 s; the store removes the records of servers that are gone after 3.6 s. Such faults come in series and overlap with all others. RestoresAreOvercome finds requests refused as Unconfirmed longer than 4 s after a restore, without a fault that keeps the host from the store; a record that violates it is in TestEachCheckReportsItsViolation.

--- a/internal/fakes/memdb/memdb.go
+++ b/internal/fakes/memdb/memdb.go
@@ -15,6 +15,7 @@
 package memdb
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -112,6 +113,14 @@
 	s.notifyWatches()
 }
 
+// Has reports whether a row has a value.
+func (s *Store) Has(table, key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[rowKey{table: table, key: key}]
+	return ok && bytes.Equal(r.Value, value)
+}
+
 // Copy is a copy of the whole store.
 type Copy struct {
 	rows      map[rowKey]rows.Row
--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -171,6 +171,7 @@
 	{"PoisonedPromptsStop", poisonedPromptsStop},
 	{"SoundPromptsAreNotRefused", soundPromptsAreNotRefused},
 	{"SoundPromptsGoOn", soundPromptsGoOn},
+	{"RestoresAreOvercome", restoresAreOvercome},
 	{"LimitsHold", limitsHold},
 	{"LimitedServersGetTheirShare", limitedServersGetTheirShare},
 }
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -21,6 +21,7 @@
 		Faults: []Span{
 			{Kind: KindStop, Host: 0, From: 30_000, Until: 31_000},
 			{Kind: KindPause, Host: 1, From: 9_000, Until: 11_000},
+			{Kind: KindStoreRestored, From: 60_000, Until: 61_000},
 		},
 		Leaks:      []Leak{{Host: 0, Resource: "descriptors", Before: 40, After: 60}},
 		PeakMemory: map[int]int64{0: hostMemoryBytes},
@@ -37,10 +38,16 @@
 	r.Arrivals = append(r.Arrivals, Arrival{ID: "paused", Server: "i-1", At: 12_550, Runs: true})
 	r.addPoison(crashLimit-1, allowedAfterLimit)
 	r.addLimited("i-app-7", 80_000, 2, 17)
+	r.addUnconfirmed("in-time", 61_000+boundRestore)
 	r.add(Request{ID: "crossed", Host: 0, At: 30_500, Ended: 30_600}, 0)
 	return r
 }
 
+// addUnconfirmed records a request to a host that cannot confirm its manifest.
+func (r *Record) addUnconfirmed(id string, at clock.Millis) {
+	r.add(Request{ID: id, At: at, Ended: at, Status: 503, Whole: true, Body: string(refuse.New(refuse.ReasonUnconfirmed).Body())}, 0)
+}
+
 // addPoison records crashes by a segment, with prompts that come late after the last one, and
 // sound prompts that are served before and after.
 func (r *Record) addPoison(crashes, late int) {
@@ -134,6 +141,7 @@
 				r.add(Request{ID: fmt.Sprint("starved", i), Kind: route.KindStream, Segments: []string{"first"}, At: 55_000, Status: 502, Whole: true}, 1)
 			}
 		},
+		"RestoresAreOvercome": func(r *Record) { r.addUnconfirmed("late", 61_001+boundRestore) },
 		"LimitsHold": func(r *Record) {
 			r.addLimited("i-app-8", 100_000, 2, 18)
 		},
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -81,6 +81,7 @@
 		KindStoreWatchesSilent: storeFault,
 		KindStoreLostAnswers:   storeFault,
 		KindStoreRejectsHost:   storeFault,
+		KindStoreRestored:      restoreStore,
 		KindStoreReset: func(_ context.Context, hn *harness, f Fault) func() {
 			hn.hosts[f.Target].storeRelay.Reset()
 			return nil
@@ -151,7 +152,7 @@
 	all := memdb.Faults{RefusedHosts: map[string]bool{}}
 	for _, f := range hn.faults {
 		switch f.Kind {
-		case KindStoreDown:
+		case KindStoreDown, KindStoreRestored:
 			all.Down = true
 		case KindStoreSlow:
 			all.Delay = storeDelay
@@ -219,6 +220,9 @@
 	}
 	hn.running.Go(func() {
 		hn.pause(ctx, boundDrain+boundContact)
+		hn.mu.Lock()
+		s.gone = true
+		hn.mu.Unlock()
 		hn.store.Delete(platform.ServersTable, s.ID)
 	})
 	return nil
--- a/internal/tools/soak/harness.go
+++ b/internal/tools/soak/harness.go
@@ -46,6 +46,8 @@
 	// poisons are the segments that crash engines, crashed the servers that have.
 	poisons []string
 	crashed []*server
+	// copies are the last copies of the store.
+	copies []memdb.Copy
 	// sendPoison sends the prompts of a poison until the callers stop.
 	sendPoison func(segment string)
 }
@@ -56,6 +58,11 @@
 	service string
 	relay   *midbox.Proxy
 	leaving bool
+	// gone is set once the record is removed. sequence counts the records.
+	gone     bool
+	sequence int64
+	// written is the last record.
+	written []byte
 	// limited is set while the server names a rate limit.
 	limited bool
 }
@@ -158,7 +165,9 @@
 	if err != nil {
 		return err
 	}
-	hn.store.Put(platform.OperatorTable, platform.ManifestKey, text)
+	if !hn.store.Has(platform.OperatorTable, platform.ManifestKey, text) {
+		hn.store.Put(platform.OperatorTable, platform.ManifestKey, text)
+	}
 	return nil
 }
 
@@ -186,12 +195,14 @@
 }
 
 func (hn *harness) putServer(s *server) error {
+	s.sequence++
 	value, err := platform.EncodeServer(fleet.Server{
-		ID: s.ID, Service: s.service, Address: s.relay.Addr(), FailureDomain: domains[0], Slots: engineSlots, Leaving: s.leaving,
+		ID: s.ID, Service: s.service, Address: s.relay.Addr(), FailureDomain: domains[0], Slots: engineSlots, Leaving: s.leaving, Sequence: s.sequence,
 	})
 	if err != nil {
 		return err
 	}
+	s.written = value
 	hn.store.Put(platform.ServersTable, s.ID, value)
 	return nil
 }
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -13,6 +13,7 @@
 
 // The kinds of faults. Target is the number of the host or of the server. StoreDeaf has
 // watches receive no events; TurnedAway has the store reject the calls of one host.
+// StoreRestored has the store down and then restored from an older copy.
 // DomainCut cuts the hosts of the target's failure domain off from all others and from the
 // store. ServersCrash crashes half of the engines at once. Poison sends prompts that crash
 // engines until the end of the run. With Limit a server names the rate of requests that it
@@ -28,6 +29,7 @@
 	KindStoreWatchesSilent Kind = "StoreDeaf"
 	KindStoreLostAnswers   Kind = "StoreLostAnswers"
 	KindStoreRejectsHost   Kind = "TurnedAway"
+	KindStoreRestored      Kind = "StoreRestored"
 	KindStoreReset         Kind = "StoreReset"
 	KindStoreSilent        Kind = "StoreSilent"
 	KindStoreOneWay        Kind = "StoreOneWay"
@@ -77,6 +79,7 @@
 	{KindStoreWatchesSilent, 2},
 	{KindStoreLostAnswers, 1},
 	{KindStoreRejectsHost, 3},
+	{KindStoreRestored, 4},
 	{KindStoreReset, 2},
 	{KindStoreSilent, 2},
 	{KindStoreOneWay, 1},
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -92,6 +92,8 @@
 		callers.Go(func() { hn.runCaller(callersCtx, i, random) })
 	}
 	callers.Go(func() { hn.watchLag(callersCtx) })
+	hn.keepCopy(hn.store.Copy())
+	callers.Go(func() { hn.copyStore(callersCtx) })
 	hn.sendPoison = func(segment string) {
 		callers.Go(func() { hn.runPoison(callersCtx, segment) })
 	}
