--- a/internal/fakes/memdb/memdb.go
+++ b/internal/fakes/memdb/memdb.go
@@ -227,31 +227,13 @@
 		return rows.Reply{}, err
 	}
 	timeout := s.clock.After(wait)
-	era := int64(0)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
-		s.mu.Lock()
-		changed := s.changed
-		if era == 0 {
-			era = s.era
-		}
-		reply := rows.Reply{Era: s.era, Version: s.version, Now: s.clock.Now()}
-		historyGone := after < s.compacted || after > s.version
-		down := s.faults.Down || s.faults.RefusedHosts[host] || s.era != era
-		if !s.faults.MuteWatches {
-			for _, row := range s.history {
-				if row.Table == table && row.Version > after {
-					reply.Rows = append(reply.Rows, row)
-				}
-			}
-		}
-		s.mu.Unlock()
-		switch {
-		case down:
-			return rows.Reply{}, rows.ErrOutcomeUnknown
-		case historyGone:
-			return rows.Reply{}, rows.ErrHistoryGone
-		case len(reply.Rows) > 0:
-			return reply, nil
+		reply, changed, err := s.changes(host, table, era, after)
+		if err != nil || len(reply.Rows) > 0 {
+			return reply, err
 		}
 		select {
 		case <-ctx.Done():
@@ -263,6 +245,26 @@
 	}
 }
 
+// changes returns the changes of a table after a version for a watch that began in an era,
+// and a channel that closes at the next change.
+func (s *Store) changes(host, table string, era, after int64) (rows.Reply, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Down || s.faults.RefusedHosts[host] || s.era != era:
+		return rows.Reply{}, nil, rows.ErrOutcomeUnknown
+	case after < s.compacted || after > s.version:
+		return rows.Reply{}, nil, rows.ErrHistoryGone
+	}
+	reply := rows.Reply{Era: s.era, Version: s.version, Now: s.clock.Now()}
+	for _, row := range s.history {
+		if !s.faults.MuteWatches && row.Table == table && row.Version > after {
+			reply.Rows = append(reply.Rows, row)
+		}
+	}
+	return reply, s.changed, nil
+}
+
 func (s *Store) commit(ctx context.Context, host string, c rows.Change) (rows.Reply, error) {
 	f, err := s.admit(ctx, host)
 	if err != nil {
