The soak plays streams that end with their connection

CutStream and UnframedStream join the ways in which an engine misbehaves. A caller takes such a response for complete only if its end is marked, so that AnswersAreWhole finds a host that marks the end in the server's place.

--- a/internal/tools/soak/callers.go
+++ b/internal/tools/soak/callers.go
@@ -161,7 +161,8 @@
 	s.Limit = answer.Header.Get(platform.Headers.RateLimit)
 	s.AnswerID = answer.Header.Get(platform.Headers.RequestID)
 	body, err := io.ReadAll(answer.Body)
-	s.Body, s.Whole = string(body), err == nil
+	endMarked := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+	s.Body, s.Whole = string(body), err == nil && endMarked
 	if err != nil || answer.Close {
 		c.closeConn()
 	}
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -187,7 +187,7 @@
 }
 
 // faultyStreams are the ways in which only an engine misbehaves.
-var faultyStreams = []origin.Behavior{origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent}
+var faultyStreams = []origin.Behavior{origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent, origin.CutStream, origin.UnframedStream}
 
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
