A copy from before an earlier restore is not taken for written again

Soak (6 hosts; two restores, the second from a copy from before the first): requests with a key ran up to 5,288 ms after it was withdrawn, the bound is 5,000. Host 3 had manifest 6 from row 30 in era 1 and, written again, from row 31 in era 2. In era 3 the copy had it in row 30 again, another row than 31, which passed for written again and confirmed the manifest at once; the newer one, that withdrew the key, was written 2.1 s later.

Now a host remembers all rows that have held the manifest in force, and a row counts as written again only if it is none of them; if it has missed an era, or knows of the restore from another host, only a higher manifest version does.

TestManifestOfCopyFromEarlierEraIsNotTakenForWrittenAgain failed before and passes now.

--- a/internal/share/mirror/mirror.go
+++ b/internal/share/mirror/mirror.go
@@ -270,7 +270,7 @@
 		return err
 	}
 	if got.RestoreLeft > 0 {
-		m.Watcher.AdoptRestore(sent+got.RestoreLeft, got.ManifestVersion, view.ManifestRevision)
+		m.Watcher.AdoptRestore(sent+got.RestoreLeft, got.ManifestVersion)
 	}
 	m.Watcher.Adopt(view, got.ManifestVersion, confirmed)
 	return nil
--- a/internal/share/watch/restore_test.go
+++ b/internal/share/watch/restore_test.go
@@ -8,7 +8,6 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/memdb"
-	"siskinsaddle/internal/plat/rows"
 )
 
 // maxApplyTime is the time within which a change has to be in force.
@@ -131,15 +130,35 @@
 	c.Assert(within(3*time.Second, func() bool { return w.Age(clk.Boot()) < 300 }), qt.IsTrue)
 }
 
+// The copy may be from before an earlier restore, after which the manifest got another row.
+func TestManifestOfCopyFromEarlierEraIsNotTakenForWrittenAgain(t *testing.T) {
+	c := qt.New(t)
+	clk := clock.System()
+	s := memdb.New(clk)
+	empty := s.Copy()
+	w := startWatcher(c, s)
+	for range 3 {
+		s.Put("other", "row", nil)
+	}
+	s.Put("op", "manifest", []byte("1"))
+	c.Assert(inTime(func() bool { return version(w) == 1 }), qt.IsTrue)
+	old := s.Copy()
+	s.Restore(empty)
+	s.Put("op", "manifest", []byte("1"))
+	c.Assert(within(3*time.Second, func() bool { return w.View().ManifestRevision.Era == 2 && w.Age(clk.Boot()) < 100 }), qt.IsTrue)
+	s.Restore(old)
+	c.Assert(inTime(func() bool { return w.Age(clk.Boot()) > 400 }), qt.IsTrue)
+}
+
 // The servers must not wait for the confirmation of the manifest.
 func TestServersAreKnownWhileRestoredManifestIsUnsettled(t *testing.T) {
 	c := qt.New(t)
 	clk := clock.System()
 	s := memdb.New(clk)
-	row := s.Put("op", "manifest", []byte("1"))
+	s.Put("op", "manifest", []byte("1"))
 	s.Put("servers", "a", []byte("10.0.0.1:1"))
 	w := newWatcher(s)
-	w.AdoptRestore(clk.Boot()+2_000, 1, rows.Revision{Era: 1, Version: row})
+	w.AdoptRestore(clk.Boot()+2_000, 1)
 	run(c, w)
 	c.Assert(within(time.Second, func() bool { return len(w.View().Servers) == 1 }), qt.IsTrue)
 	c.Assert(w.Age(clk.Boot()) > clock.Minute, qt.IsTrue)
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -137,6 +137,8 @@
 	eraKnown bool
 	// restored is the last restore of the store that this host has seen.
 	restored restore
+	// positions are the versions of the rows that have held the manifest in force.
+	positions map[int64]bool
 	// recovered notifies when a read of the manifest succeeds after a failed one,
 	// updated at each change and confirmation.
 	recovered notifier
@@ -178,12 +180,12 @@
 }
 
 // AdoptRestore records a restore of the store that another host has seen. Until is as for
-// RestoreUntil; version and at are the version and the position of its manifest.
-func (w *Watcher) AdoptRestore(until clock.Millis, version int64, at rows.Revision) {
+// RestoreUntil, version the version of its manifest.
+func (w *Watcher) AdoptRestore(until clock.Millis, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if until > w.restored.until {
-		w.restored = restore{until: until, version: version, at: at}
+		w.restored = restore{until: until, version: version}
 	}
 }
 
@@ -260,15 +262,17 @@
 	// until is the time on the boot-time clock up to which operators may have yet to
 	// write again what is lost, 0 without a restore.
 	until clock.Millis
-	// version and at are the version of the manifest in force before, and its position.
-	version int64
-	at      rows.Revision
+	// version is the version of the manifest in force before. positions are the versions
+	// of the rows that held it, nil if they are not all known.
+	version   int64
+	positions map[int64]bool
 }
 
 // settled reports whether a manifest that was read from the restored store can be taken
 // for the newest one: it was written after the restore, or what was lost would have been.
 func (r restore) settled(now clock.Millis, version int64, at rows.Revision) bool {
-	writtenAgain := version > r.version || (version == r.version && at.Version != r.at.Version)
+	// The copy may be from before an earlier restore, and have any of the rows.
+	writtenAgain := version > r.version || (version == r.version && r.positions != nil && !r.positions[at.Version])
 	return now >= r.until || writtenAgain
 }
 
@@ -286,7 +290,10 @@
 		w.fleet.StoreRestored(now)
 		w.restored = restore{until: now + recoveryGrace}
 		if v := w.View(); v.Manifest != nil {
-			w.restored.version, w.restored.at = v.Manifest.Version(), v.ManifestRevision
+			w.restored.version = v.Manifest.Version()
+			if era == w.era+1 {
+				w.restored.positions = maps.Clone(w.positions)
+			}
 		}
 		if w.OnRestored != nil {
 			w.OnRestored()
@@ -409,8 +416,15 @@
 	defer w.mu.Unlock()
 	v := w.View()
 	if v.Manifest != nil && !newerManifest(m.Version(), at, v.Manifest.Version(), v.ManifestRevision) {
+		if m.Version() == v.Manifest.Version() {
+			w.positions[at.Version] = true
+		}
 		return m.Version(), at
 	}
+	if v.Manifest == nil || m.Version() != v.Manifest.Version() {
+		w.positions = map[int64]bool{}
+	}
+	w.positions[at.Version] = true
 	v.Manifest, v.ManifestRevision, v.ManifestRows = m, at, all
 	routes, services, keys := m.Counts()
 	w.Log.Info("Manifest in force.", "version", m.Version(), "era", at.Era, "row", at.Version,
