A starting host confirms nothing before the restored store is settled

Cause, from the hosts' logs: a host that starts while the store is away has not joined the others when it comes back.

Now the first read confirms nothing until the manifest has been written again, 2 s have passed, or the table of hosts says that the era is settled. The first host that confirms a manifest in an era stores that there. A restore loses the row or brings back that of an older era, as it has to, so that a host need not know of the restore. In an era that is settled a starting host waits for nothing.

TestStartingHostConfirmsNothingBeforeTheStoreIsSettled fails without the wait in enterEra.

--- a/internal/share/member/member.go
+++ b/internal/share/member/member.go
@@ -27,6 +27,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -51,6 +52,7 @@
 	secretKey       = "secret"
 	secretBytes     = 32
 	memberKeyPrefix = "host/"
+	settledKey      = "settled"
 	// minReadPeriod is the time until the first read after the start, in milliseconds,
 	// when hosts that start together have written their records. The time doubles
 	// with each read, up to maxReadPeriod.
@@ -90,6 +92,9 @@
 	// the store.
 	secret    []byte
 	secretEra int64
+	// settledEra is the newest era that the table calls settled.
+	settledEra int64
+	settled    chan int64
 }
 
 // records is what the table of hosts holds for this host.
@@ -99,10 +104,30 @@
 	secret rows.Row
 	// registered is set if this host has a record.
 	registered bool
+	// settled is the row of the settled era, with version 0 if there is none.
+	settled rows.Row
 }
 
 func (r *Registry) prepare() {
-	r.once.Do(func() { r.restored = make(chan struct{}, 1) })
+	r.once.Do(func() { r.restored, r.settled = make(chan struct{}, 1), make(chan int64, 1) })
+}
+
+// SettledEra returns the newest era of the store in which a host is known to have confirmed
+// a manifest, 0 for none.
+func (r *Registry) SettledEra() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.settledEra
+}
+
+// Settled makes Run store that a host has confirmed a manifest in an era, for hosts that
+// start. A restore of the store loses that, as it has to.
+func (r *Registry) Settled(era int64) {
+	r.prepare()
+	select {
+	case r.settled <- era:
+	default: // an earlier era waits; the next host to start waits for the store to settle
+	}
 }
 
 // Restored makes Run register this host again, since the store was restored from a copy.
@@ -259,6 +284,10 @@
 			found.secret = row
 			continue
 		}
+		if row.Key == settledKey {
+			found.settled = row
+			continue
+		}
 		if !strings.HasPrefix(row.Key, memberKeyPrefix) {
 			r.readOther(row)
 			continue
@@ -273,9 +302,43 @@
 	}
 	r.Adopt(members, newest)
 	r.checkSecret(found)
+	if err := r.readSettled(found); err != nil {
+		r.Log.Warn("A record was ignored.", "key", settledKey, "err", err)
+	}
 	return found, nil
 }
 
+// readSettled reads the settled era. The row may be one of an earlier era.
+func (r *Registry) readSettled(found records) error {
+	if found.settled.Version == 0 {
+		return nil
+	}
+	era, err := strconv.ParseInt(string(found.settled.Value), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "decoding the settled era")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settledEra = max(r.settledEra, era)
+	return nil
+}
+
+// storeSettled stores that an era is settled, unless another host has.
+func (r *Registry) storeSettled(ctx context.Context, era int64) {
+	found, err := r.readRecords(ctx)
+	if err == nil && (found.era != era || r.SettledEra() >= era) {
+		return
+	}
+	if err == nil {
+		row := rows.Row{Table: r.Table, Key: settledKey, Value: strconv.AppendInt(nil, era, 10)}
+		expected := rows.Row{Table: r.Table, Key: settledKey, Version: found.settled.Version}
+		_, err = r.Store.Commit(ctx, rows.Change{Expect: []rows.Row{expected}, Writes: []rows.Row{row}})
+	}
+	if err != nil && !errors.Is(err, rows.ErrConflict) {
+		r.Log.Warn("Storing that the store is settled failed; hosts that start wait for that.", "era", era, "err", err)
+	}
+}
+
 // checkSecret adopts a secret that has changed in the same era: the one from before a
 // restore, written again by a host that had it.
 func (r *Registry) checkSecret(found records) {
@@ -343,6 +406,10 @@
 			r.rejoinWithRetries(ctx)
 			wait = minReadPeriod
 			continue
+		case era := <-r.settled:
+			<-r.Clock.After(clock.Millis(rand.N(int64(minRetryDelay))))
+			r.storeSettled(ctx, era)
+			continue
 		case <-r.Clock.After(wait + clock.Millis(rand.N(int64(wait/4)))):
 		}
 		if r.ReadsStore == nil || r.ReadsStore() {
--- a/internal/share/member/restore_test.go
+++ b/internal/share/member/restore_test.go
@@ -109,3 +109,21 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(second > first, qt.IsTrue)
 }
+
+func TestSettledEraIsLostInRestore(t *testing.T) {
+	c := qt.New(t)
+	s := memdb.New(clock.System())
+	one := newRegistry(s, "a")
+	joinAndRun(c, one)
+	old := s.Copy()
+	one.Settled(1)
+	c.Assert(inTime(func() bool { return values(c, s)["settled"] == "1" }), qt.IsTrue)
+	started := newRegistry(s, "b")
+	joinAndRun(c, started)
+	c.Assert(started.SettledEra(), qt.Equals, int64(1))
+
+	s.Restore(old)
+	started = newRegistry(s, "c")
+	joinAndRun(c, started)
+	c.Assert(started.SettledEra(), qt.Equals, int64(0))
+}
--- a/internal/share/watch/restore_test.go
+++ b/internal/share/watch/restore_test.go
@@ -1,6 +1,7 @@
 package watch_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,6 +151,38 @@
 	c.Assert(inTime(func() bool { return w.Age(clk.Boot()) > 400 }), qt.IsTrue)
 }
 
+// A host that starts cannot tell a restored store from one that is settled: its first read
+// may be of a manifest whose successor withdrew keys and is lost.
+func TestStartingHostConfirmsNothingBeforeTheStoreIsSettled(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		settle func(s *memdb.Store, era *atomic.Int64)
+	}{
+		{"the manifest is written again", func(s *memdb.Store, _ *atomic.Int64) { s.Put("op", "manifest", []byte("2")) }},
+		{"another host found it settled", func(_ *memdb.Store, era *atomic.Int64) { era.Store(1) }},
+		{"the time for writing again is over", func(*memdb.Store, *atomic.Int64) { time.Sleep(1_800 * time.Millisecond) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			clk := clock.System()
+			s := memdb.New(clk)
+			s.Put("op", "manifest", []byte("1"))
+			w := newWatcher(s)
+			var era atomic.Int64
+			w.SettledEra = era.Load
+			settled := make(chan int64, 1)
+			w.OnSettled = func(era int64) { settled <- era }
+			run(c, w)
+			c.Assert(inTime(func() bool { return version(w) == 1 }), qt.IsTrue)
+			time.Sleep(400 * time.Millisecond)
+			c.Assert(w.Age(clk.Boot()) > clock.Minute, qt.IsTrue)
+			test.settle(s, &era)
+			c.Assert(within(time.Second, func() bool { return w.Age(clk.Boot()) < clock.Minute }), qt.IsTrue)
+			c.Assert(<-settled, qt.Equals, int64(1))
+		})
+	}
+}
+
 // The servers must not wait for the confirmation of the manifest.
 func TestServersAreKnownWhileRestoredManifestIsUnsettled(t *testing.T) {
 	c := qt.New(t)
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -18,7 +18,8 @@
 // in a new era. A manifest of another era is applied only if its own version is higher,
 // since the copy may hold an older one than that in force. The copy confirms nothing until
 // its manifest has been written again or the operators have had time for that: a newer one
-// that withdraws keys may be lost.
+// that withdraws keys may be lost. The first read of a host that starts may be of such a
+// copy too, unless another host has found the era settled.
 //
 // Not every host has to read the store: Adopt applies the state of another host,
 // and Run may end and be called again.
@@ -117,6 +118,11 @@
 	ConfirmEvery clock.Millis
 	// Changed is called after each change of the view, one call at a time.
 	Changed func(View)
+	// SettledEra returns the newest era in which another host has confirmed a manifest, as
+	// far as this host knows. Nil means that the store is never restored.
+	SettledEra func() int64
+	// OnSettled, if set, is called with each era in which a read has confirmed the manifest.
+	OnSettled func(era int64)
 	// OnRestored, if set, is called when the store was restored from a copy.
 	OnRestored func()
 	// SlowRetry reports whether failed reads are retried slowly, since other
@@ -135,8 +141,10 @@
 	// era is the newest era of the store, valid if eraKnown is set.
 	era      int64
 	eraKnown bool
-	// restored is the last restore of the store that this host has seen.
-	restored restore
+	// restored is the last restore of the store that this host has seen, or may have
+	// missed. settledEra is the last era for which OnSettled was called.
+	restored   restore
+	settledEra int64
 	// positions are the versions of the rows that have held the manifest in force.
 	positions map[int64]bool
 	// recovered notifies when a read of the manifest succeeds after a failed one,
@@ -185,7 +193,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if until > w.restored.until {
-		w.restored = restore{until: until, version: version}
+		w.restored = restore{until: until, version: version, known: true}
 	}
 }
 
@@ -262,9 +270,11 @@
 	// until is the time on the boot-time clock up to which operators may have yet to
 	// write again what is lost, 0 without a restore.
 	until clock.Millis
-	// version is the version of the manifest in force before. positions are the versions
-	// of the rows that held it, nil if they are not all known.
+	// version is the version of the manifest in force before, or else of the first one
+	// read since, valid if known is set. positions are the versions of the rows that held
+	// it, nil if they are not all known.
 	version   int64
+	known     bool
 	positions map[int64]bool
 }
 
@@ -286,27 +296,59 @@
 	}
 	if w.eraKnown && era > w.era {
 		w.Log.Warn("The store was restored from a copy; all its tables are read again.", "era", era)
-		now := w.Clock.Boot()
-		w.fleet.StoreRestored(now)
-		w.restored = restore{until: now + recoveryGrace}
-		if v := w.View(); v.Manifest != nil {
-			w.restored.version = v.Manifest.Version()
-			if era == w.era+1 {
-				w.restored.positions = maps.Clone(w.positions)
-			}
+		w.fleet.StoreRestored(w.Clock.Boot())
+		w.awaitSettled()
+		if era == w.era+1 && w.restored.known {
+			w.restored.positions = maps.Clone(w.positions)
 		}
 		if w.OnRestored != nil {
 			w.OnRestored()
 		}
 	}
+	if !w.eraKnown && w.SettledEra != nil {
+		// The store may have been restored just before this host started.
+		w.awaitSettled()
+	}
 	w.era, w.eraKnown = era, true
 	return nil
 }
 
+// awaitSettled makes reads confirm nothing until the store is settled. The caller holds
+// the lock.
+func (w *Watcher) awaitSettled() {
+	w.restored = restore{until: w.Clock.Boot() + recoveryGrace}
+	if v := w.View(); v.Manifest != nil {
+		w.restored.version, w.restored.known = v.Manifest.Version(), true
+	}
+}
+
+// settle reports whether a manifest that was read from an era of the store at a time of the
+// boot-time clock can be taken for the newest one. SettledEra is the newest era that another
+// host had found settled by then.
+func (w *Watcher) settle(sent clock.Millis, version int64, at rows.Revision, settledEra int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.restored.known {
+		w.restored.version, w.restored.known = version, true
+	}
+	if at.Era != settledEra && !w.restored.settled(sent, version, at) {
+		return false
+	}
+	if w.OnSettled != nil && w.settledEra != at.Era {
+		w.settledEra = at.Era
+		w.OnSettled(at.Era)
+	}
+	return true
+}
+
 // confirm reads the manifest once and returns the position of that read, also with
 // errUnsettled.
 func (w *Watcher) confirm(ctx context.Context) (rows.Revision, error) {
 	sent := w.Clock.Boot()
+	settledEra := int64(0)
+	if w.SettledEra != nil {
+		settledEra = w.SettledEra()
+	}
 	reply, err := w.Store.Read(ctx, w.Source.ManifestRange)
 	if err != nil {
 		return rows.Revision{}, err
@@ -318,10 +360,7 @@
 		return rows.Revision{}, errStale
 	}
 	version, at := w.applyManifest(reply.Rows, reply.Era)
-	w.mu.Lock()
-	settled := w.restored.settled(sent, version, at)
-	w.mu.Unlock()
-	if !settled {
+	if !w.settle(sent, version, at, settledEra) {
 		w.Log.Info("The restored manifest may lack changes; it is not confirmed yet.", "version", version, "era", at.Era, "row", at.Version)
 		return reply.Revision(), errUnsettled
 	}
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -161,6 +161,7 @@
 	cluster := newCluster(s, c, l, plain, counters)
 	p.Broker, p.Guard = cluster.Broker, cluster.Guard
 	cluster.Mirror.Watcher = w
+	w.SettledEra, w.OnSettled = cluster.Registry.SettledEra, cluster.Registry.Settled
 	w.OnRestored = func() {
 		cluster.Registry.Restored()
 		cluster.Mirror.Restored()
