--- a/internal/share/watch/restore_test.go
+++ b/internal/share/watch/restore_test.go
@@ -1,6 +1,7 @@
 package watch_test
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/memdb"
+	"siskinsaddle/internal/policy/fleet"
+	"siskinsaddle/internal/share/watch"
 )
 
 // maxApplyTime is the time within which a change has to be in force.
@@ -26,6 +29,10 @@
 	return false
 }
 
+func knows(w *watch.Watcher, server string) bool {
+	return slices.ContainsFunc(w.View().Servers, func(s fleet.Server) bool { return s.ID == server })
+}
+
 // The store gives versions out again after a restore, so that later changes have lower
 // versions than those that a host has seen.
 func TestChangesAfterRestoreAreApplied(t *testing.T) {
@@ -44,14 +51,7 @@
 		s.Put("op", "manifest", []byte("3"))
 		s.Put("servers", "c", []byte("10.0.0.3:1"))
 		c.Check(inTime(func() bool { return version(w) == 3 && w.Age(clk.Boot()) < 500 }), qt.IsTrue)
-		c.Check(inTime(func() bool {
-			for _, v := range w.View().Servers {
-				if v.ID == "c" {
-					return true
-				}
-			}
-			return false
-		}), qt.IsTrue)
+		c.Check(inTime(func() bool { return knows(w, "c") }), qt.IsTrue)
 	}
 }
 
@@ -71,14 +71,7 @@
 		s.Put("other", "row", nil)
 	}
 	s.SetFaults(memdb.Faults{})
-	c.Assert(inTime(func() bool {
-		for _, v := range w.View().Servers {
-			if v.ID == "b" {
-				return true
-			}
-		}
-		return false
-	}), qt.IsTrue)
+	c.Assert(inTime(func() bool { return knows(w, "b") }), qt.IsTrue)
 }
 
 func TestManifestDoesNotRevertAfterRestore(t *testing.T) {
