A response that breaks off lifts no rate limit

A server names its rate in a field of its answers, and an answer without the field to a later request lifts it. That was judged by the header alone, also of a response that then broke off, so that a server in trouble lost its limit at its first torn answer.

Now a rate is set by the header and lifted only by a response that was read to a marked end. TestBrokenResponseLiftsNoRateLimit failed before for torn and endless bodies and for a stream that ends inside an event.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -113,7 +113,16 @@
 		// The server at this address is not the one in the Server field.
 		return result{outcome: place.OutcomeMoved, sent: retry.SentNothing, cause: "Moved"}
 	}
-	j.observeLimit(choice, response, sentAt)
+	named := j.observeLimit(choice, response, sentAt)
+	got := j.forward(response, firstEventBy)
+	if !named && got.whole() {
+		j.observeNoLimit(choice, sentAt)
+	}
+	return got
+}
+
+// forward forwards a server's response to the caller if it may.
+func (j *job) forward(response wire.Response, firstEventBy clock.Millis) result {
 	if response.Header(j.proxy.Fields.NotRun) != "" {
 		// The server states that it did not run the request.
 		return result{outcome: place.OutcomeFull, sent: retry.SentNothing, cause: "NotRun"}
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -103,6 +103,16 @@
 	cause string
 }
 
+// whole reports whether the response was read to an end that its server marked.
+func (r result) whole() bool {
+	switch r.outcome {
+	case place.OutcomeServed, place.OutcomeFailed, place.OutcomeFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // run makes attempts until the caller has a response or has disconnected.
 func (j *job) run(ctx context.Context) {
 	for {
--- a/internal/serve/proxy/limits.go
+++ b/internal/serve/proxy/limits.go
@@ -14,18 +14,34 @@
 )
 
 // observeLimit records the rate that a server names in its response to a request that was
-// sent at sentAt.
-func (j *job) observeLimit(choice place.Choice, response wire.Response, sentAt clock.Millis) {
-	p := j.proxy
-	if p.Fields.RateLimit == "" {
-		return
+// sent at sentAt. It reports whether the response has the field.
+func (j *job) observeLimit(choice place.Choice, response wire.Response, sentAt clock.Millis) bool {
+	text := ""
+	if j.proxy.Fields.RateLimit != "" {
+		text = response.Header(j.proxy.Fields.RateLimit)
+	}
+	if text == "" {
+		return false
 	}
-	text := response.Header(p.Fields.RateLimit)
 	rate, ok := limit.Parse(text)
 	if !ok {
 		j.log("A server named a rate limit that cannot be read.", "server", choice.Server.ID, "text", text)
-		return
+		return true
+	}
+	j.setLimit(choice, rate, sentAt)
+	return true
+}
+
+// observeNoLimit records a complete response without a rate to a request that was sent at
+// sentAt.
+func (j *job) observeNoLimit(choice place.Choice, sentAt clock.Millis) {
+	if j.proxy.Fields.RateLimit != "" {
+		j.setLimit(choice, 0, sentAt)
 	}
+}
+
+func (j *job) setLimit(choice place.Choice, rate float64, sentAt clock.Millis) {
+	p := j.proxy
 	s := limit.Statement{Service: j.service, Server: choice.Server.ID, Born: choice.Server.Born, Rate: rate}
 	p.mu.Lock()
 	changed := p.limits.Observe(p.Clock.Now(), s, sentAt)
--- a/internal/serve/proxy/limits_test.go
+++ b/internal/serve/proxy/limits_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
 )
 
@@ -98,3 +99,29 @@
 		})
 	}
 }
+
+// A torn response to a later request does not carry the field, as no part of it can be
+// trusted.
+func TestBrokenResponseLiftsNoRateLimit(t *testing.T) {
+	for _, broken := range []origin.Behavior{origin.Tear, origin.EndlessBody, origin.HalfEvent} {
+		c, r := start(t, 1, broken == origin.HalfEvent)
+		limited := func() int64 {
+			r.forwarder.UpdateGauges()
+			return r.count.Gauge(meter.Servers, meter.Label("state", "Limited"))
+		}
+		r.servers[0].SetRateLimit("50")
+		path := "/booking/x"
+		if broken == origin.HalfEvent {
+			path = "/once/x"
+		}
+		r.send("POST", path, "names", "Content-Length: 0\r\n")
+		c.Assert(limited(), qt.Equals, int64(1))
+		r.servers[0].SetDefault(broken)
+		for i := 0; r.runs("breaks") == 0; i++ {
+			// The server's rate lets the first ones wait.
+			time.Sleep(20 * time.Millisecond)
+			r.send("POST", path, "breaks", "Content-Length: 0\r\n")
+		}
+		c.Check(limited(), qt.Equals, int64(1), qt.Commentf("%s", broken))
+	}
+}
