Servers that say in their answers that they leave get no more requests

The users' platform has a new field: a server that leaves says so in all its answers. No code read it, so that a server whose record stays ready went on getting requests (the issue: 97 of 293 in 10 s, all later than the bound of 4 s).

policy/notice keeps the incarnations that have said so, also while a record lapses; the proxy marks them in the list for placement and keepers. The host that sees it first tells the server's keeper, which tells all hosts in one message 0.3 s later, unless the record says so by then; a host that reports to a keeper gets what that knows (share/notify). No call to the store. An answer that belongs to another request or comes from another server at the address does not count, a torn one and a refusal do.

TestServerThatSaysItLeavesGetsNoMoreRequests failed before for calls and prompts, with and without a keeper, and TestLeavingIsNoticedInEachOwnResponse; now none arrives after the first answer.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -47,6 +47,7 @@
 	WaitingRequests = "siskinsaddle_waiting_requests"
 	BufferedBytes   = "siskinsaddle_buffered_bytes"
 
+	OddFields           = "siskinsaddle_odd_fields_total"
 	QuarantinedSegments = "siskinsaddle_quarantined_segments"
 )
 
@@ -71,6 +72,7 @@
 	{Attempts, "Counter", "attempts", "outcome, server", "attempts by how they ended at the server"},
 	{BadRequests, "Counter", "requests", "reason", "requests that could not be read"},
 	{Panics, "Counter", "requests", "", "requests whose handler panicked"},
+	{OddFields, "Counter", "responses", "field", "responses of servers with a field that cannot be read, by field: Leaving, HoldOff"},
 	{LogLinesDropped, "Counter", "lines", "cause", "log lines above the rate of their kind"},
 	{LogQueueDropped, "Gauge", "lines", "", "log lines left out so far because the reader of the output stalled"},
 	{StoreCalls, "Counter", "calls", "call, outcome", "calls to the platform's store, by Read, Watch, Commit and Answered, Failed"},
@@ -80,7 +82,7 @@
 	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
 	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded"},
-	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided; Limited ones, which have named a rate limit, are among the usable"},
+	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided; Limited ones, which have named a rate limit, are among the usable, and HeldOff ones, which want no requests for a while, among all"},
 	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
 	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
 	{Ready, "Gauge", "0 or 1", "", "whether the host asks for new connections"},
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -112,6 +112,8 @@
 	crashOnce       sync.Once
 	crashSegments   []string
 	rateLimit       string
+	leaving         bool
+	holdOff         string
 	mu              sync.Mutex
 	queue           []Behavior
 	defaultBehavior Behavior
@@ -187,14 +189,44 @@
 	o.rateLimit = text
 }
 
-// limitField returns the header line of the rate limit, if there is one.
-func (o *Origin) limitField() string {
+// SetLeaving makes all responses say that the server is leaving, or none.
+func (o *Origin) SetLeaving(leaving bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.rateLimit == "" || o.Fields.RateLimit == "" {
+	o.leaving = leaving
+}
+
+// SetHoldOff makes the server refuse all requests without running them and name a time in
+// seconds for which it wants none. An empty text ends that.
+func (o *Origin) SetHoldOff(text string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.holdOff = text
+}
+
+// statementFields returns the header lines of the rate limit, and of whether the server is
+// leaving, if there are any.
+func (o *Origin) statementFields() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lines := ""
+	if o.rateLimit != "" && o.Fields.RateLimit != "" {
+		lines += o.Fields.RateLimit + ": " + o.rateLimit + "\r\n"
+	}
+	if o.leaving && o.Fields.Leaving != "" {
+		lines += o.Fields.Leaving + ": 1\r\n"
+	}
+	return lines
+}
+
+// holdOffField returns the header line of a refusal that names a hold-off, if it does.
+func (o *Origin) holdOffField() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.holdOff == "" || o.Fields.HoldOff == "" {
 		return ""
 	}
-	return o.Fields.RateLimit + ": " + o.rateLimit + "\r\n"
+	return o.Fields.HoldOff + ": " + o.holdOff + "\r\n"
 }
 
 // SetCrashSegments sets the names of prompt segments. The server crashes when it begins to
@@ -326,6 +358,9 @@
 			behavior = b
 		}
 	}
+	if o.holdOff != "" {
+		behavior = NotRun
+	}
 	if o.crashSegment(r) != "" {
 		behavior = crashAtSegment
 	}
@@ -377,7 +412,7 @@
 		return false
 	case Tear:
 		if !o.Stream {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n%s: %s\r\n\r\nhalf", o.Fields.RequestID, id)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n%s: %s\r\n%s\r\nhalf", o.Fields.RequestID, id, o.statementFields())
 			return reset(c)
 		}
 	}
@@ -387,7 +422,7 @@
 // writeError answers with an error, which says so if the request did not run.
 func (o *Origin) writeError(c net.Conn, id string, behavior Behavior) bool {
 	if behavior == NotRun {
-		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n")
+		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n"+o.holdOffField())
 	}
 	return o.writePlain(c, 500, id, "failed", "")
 }
@@ -445,7 +480,7 @@
 // each ending in CRLF.
 func (o *Origin) writePlain(c net.Conn, status int, id, body, extraFields string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n%s",
-		status, len(body), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, extraFields+o.limitField(), body)
+		status, len(body), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, extraFields+o.statementFields(), body)
 	return err == nil
 }
 
@@ -462,7 +497,7 @@
 		first = n + 1
 	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n",
-		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, o.limitField())
+		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, o.statementFields())
 	for n := first; n <= Events && err == nil; n++ {
 		event := Event(n)
 		if behavior == Tear && n == Events/2 {
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -113,6 +113,7 @@
 		// The server at this address is not the one in the Server field.
 		return result{outcome: place.OutcomeMoved, sent: retry.SentNothing, cause: "Moved"}
 	}
+	j.observeNotices(choice, response)
 	named := j.observeLimit(choice, response, sentAt)
 	got := j.forward(response, firstEventBy)
 	if !named && got.whole() {
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -43,6 +43,8 @@
 	LastEvent:      "Last-Event-Id",
 	NotRun:         "Not-Run",
 	RateLimit:      "Rate-Limit",
+	Leaving:        "Leaving",
+	HoldOff:        "Hold-Off",
 	ServerStamp:    "Stamp",
 	PromptSegments: "Prompt-Parts",
 	TokenCounts:    "Token-Counts",
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -43,6 +43,7 @@
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/limit"
+	"siskinsaddle/internal/policy/notice"
 	"siskinsaddle/internal/policy/place"
 	"siskinsaddle/internal/policy/retry"
 	"siskinsaddle/internal/policy/route"
@@ -75,6 +76,11 @@
 	// RateLimit is the rate that a server takes from all hosts together, in requests a
 	// second. A server in need sets it in its responses.
 	RateLimit string
+	// Leaving is 1 in all responses of a server that is leaving.
+	Leaving string
+	// HoldOff is the time for which a server that refuses a request wants no more from
+	// this host, in seconds with an optional fraction.
+	HoldOff string
 	// ServerStamp marks responses that come from a server.
 	ServerStamp string
 	// PromptSegments lists the segments of the prompt as NAME:TOKENS, separated by
@@ -107,8 +113,10 @@
 	// Guard has the quarantined prompt segments. It is nil if prompts are not checked for
 	// them.
 	Guard *guard.Guard
-	Log   *logs.Limited
-	Count *count.Set
+	// ShareLeaving, if set, tells the other hosts of a server that says it is leaving.
+	ShareLeaving func(e notice.Entry)
+	Log          *logs.Limited
+	Count        *count.Set
 
 	// maxKeyAge is Limits.MaxKeyAge.
 	maxKeyAge atomic.Int64
@@ -116,8 +124,12 @@
 	draining   context.Context
 	startDrain context.CancelFunc
 	buffers    buffers
-	// mu guards Placer, Repeats and limits.
+	// mu guards Placer, Repeats, servers, notices and limits.
 	mu sync.Mutex
+	// servers is the list from the servers' records. notices is what servers have said
+	// to this host or others; its times are of Clock.Boot.
+	servers []fleet.Server
+	notices *notice.Table
 	// limits are the rates that servers have named to this host.
 	limits *limit.Table
 	// buckets limit this host's share of the requests to a server while it decides alone,
@@ -130,6 +142,7 @@
 // Prepare builds the tables that depend on Fields. It is called once, before
 // Handle.
 func (p *Proxy) Prepare() {
+	p.notices = notice.NewTable()
 	p.limits, p.buckets = limit.NewTable(), map[string]*limit.Bucket{}
 	p.draining, p.startDrain = context.WithCancel(context.Background())
 	p.droppedRequestFields = map[string]bool{}
@@ -175,11 +188,9 @@
 func (p *Proxy) SetServers(all []fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.Placer.SetServers(all)
-	p.retainLimits(all)
-	if p.Broker != nil {
-		p.Broker.SetServers(all)
-	}
+	p.servers = all
+	p.notices.Retain(p.Clock.Boot(), all)
+	p.applyServers()
 }
 
 // UpdateGauges updates the gauges of servers and of remaining repeats.
@@ -190,7 +201,7 @@
 	leaving, avoided := 0, 0
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range view.Servers {
+	for _, s := range p.notices.Mark(view.Servers) {
 		services[s.Service] = true
 		if s.Leaving {
 			leaving++
--- a/internal/serve/proxyd/cluster.go
+++ b/internal/serve/proxyd/cluster.go
@@ -10,16 +10,18 @@
 	"siskinsaddle/internal/share/link"
 	"siskinsaddle/internal/share/member"
 	"siskinsaddle/internal/share/mirror"
+	"siskinsaddle/internal/share/notify"
 )
 
 // Cluster is what this host uses to cooperate with other hosts: the registry of hosts,
-// the links, the broker of grant requests and the mirror of the store. Its exported
-// fields are set before Host.Start.
+// the links, the broker of grant requests, the mirror of the store, and what hosts tell
+// each other of servers. Its exported fields are set before Host.Start.
 type Cluster struct {
 	Registry *member.Registry
 	Link     *link.Node
 	Broker   *broker.Broker
 	Guard    *guard.Guard
+	Notifier *notify.Notifier
 	Mirror   *mirror.Mirror
 
 	joined atomic.Bool
@@ -65,6 +67,7 @@
 	c.joined.Store(true)
 	l.Info("Joined the other hosts.", "hosts", len(c.Members()), "incarnation", incarnation)
 	go c.Registry.Run(ctx)
+	go c.Notifier.Run(ctx)
 	if err := c.Link.Run(ctx); err != nil {
 		l.Error("The links to other hosts failed.", "err", err)
 	}
--- a/internal/serve/proxyd/proxyd.go
+++ b/internal/serve/proxyd/proxyd.go
@@ -98,6 +98,7 @@
 	}
 	if h.Cluster != nil {
 		h.Cluster.Broker.Register()
+		h.Cluster.Notifier.Register()
 		h.Cluster.Mirror.Register()
 		go h.Cluster.run(ctx, h.Log)
 	}
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -71,6 +71,9 @@
 	// CachedSegments queries the prompt segments that a server has cached. It is nil if
 	// servers do not support the query.
 	CachedSegments func(ctx context.Context, s fleet.Server) ([]place.Segment, error)
+	// OnReport, if set, is called with each host that reports to this one as its keeper,
+	// once for each connection.
+	OnReport func(host string)
 
 	mu       sync.Mutex
 	pools    map[pool]*poolKeeper
@@ -379,17 +382,34 @@
 	}
 }
 
-// NoteLimit tells the keepers of a server, now and next, the rate that it has named.
-func (b *Broker) NoteLimit(service string, l grant.Limit) {
+// poolOf returns the pool of a server.
+func (b *Broker) poolOf(service, server string) (pool, bool) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	split := b.split(service)
-	b.mu.Unlock()
 	for i := range split.Count() {
-		if split.Has(i, l.Server) {
-			b.sendLimit(pool{service, i}, l)
-			return
+		if split.Has(i, server) {
+			return pool{service, i}, true
 		}
 	}
+	return pool{}, false
+}
+
+// Keepers returns the hosts that decide for a server, now and next. It returns none for a
+// server that is not in the list.
+func (b *Broker) Keepers(service, server string) []string {
+	p, ok := b.poolOf(service, server)
+	if !ok {
+		return nil
+	}
+	return b.keepers(p)
+}
+
+// NoteLimit tells the keepers of a server, now and next, the rate that it has named.
+func (b *Broker) NoteLimit(service string, l grant.Limit) {
+	if p, ok := b.poolOf(service, l.Server); ok {
+		b.sendLimit(p, l)
+	}
 }
 
 func (b *Broker) sendLimit(p pool, l grant.Limit) {
@@ -468,6 +488,9 @@
 	if b.Guard != nil {
 		b.Guard.Adopt(m.Quarantine)
 	}
+	if b.OnReport != nil {
+		b.OnReport(from.Name)
+	}
 	b.poolKeeper(pool{m.Service, m.Pool}).handleReport(m)
 	return nil, nil
 }
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -27,6 +27,7 @@
 	"siskinsaddle/internal/share/link"
 	"siskinsaddle/internal/share/member"
 	"siskinsaddle/internal/share/mirror"
+	"siskinsaddle/internal/share/notify"
 	"siskinsaddle/internal/share/watch"
 	"siskinsaddle/platform"
 )
@@ -160,6 +161,8 @@
 	p, w := newProxy(s, c, l, counters)
 	cluster := newCluster(s, c, l, plain, counters)
 	p.Broker, p.Guard = cluster.Broker, cluster.Guard
+	cluster.Notifier.Adopt, cluster.Notifier.Known = p.AdoptLeaving, p.LeavingServers
+	p.ShareLeaving = cluster.Notifier.Share
 	cluster.Mirror.Watcher = w
 	w.SettledEra, w.OnSettled = cluster.Registry.SettledEra, cluster.Registry.Settled
 	w.OnRestored = func() {
@@ -302,6 +305,15 @@
 		Count:    counters,
 	}
 	cluster.Broker.Guard = cluster.Guard
+	cluster.Notifier = &notify.Notifier{
+		Self:    s.HostName,
+		Members: cluster.Members,
+		Keepers: cluster.Broker.Keepers,
+		Link:    cluster.Link,
+		Clock:   c,
+		Log:     l.WithPrefix("notify"),
+	}
+	cluster.Broker.OnReport = cluster.Notifier.Tell
 	cluster.Registry.OnOther = cluster.Guard.ReadRow
 	cluster.Registry.OnRestored = cluster.Guard.StoreRestored
 	cluster.Registry.OnSecret = cluster.Link.SetSecret
