A server that refuses with Retry-After is left alone for that time

A server that turns a request away may say for how long it wants no more from this host. Each refused try was paid from the budget of repeats.

Now the host sends nothing until the time has ended, plus up to a quarter of it at random so that hosts do not return at once, and tells the server's keeper, which grants it to no request of that host, to others only if there is no other server, and one at a time afterwards until an answer has begun. Tries are paid as before, but there are few. If all servers hold a host off, callers get the shortest rest as Retry-After. A grant of a server that the host may not use is asked for again, without that server.

The field is digits with an optional fraction, bounded by ten minutes; anything else is counted (siskinsaddle_odd_fields_total) and not heeded.

--- a/internal/policy/grant/grant.go
+++ b/internal/policy/grant/grant.go
@@ -80,6 +80,15 @@
 	Age    clock.Millis
 }
 
+// HoldOff is a server's refusal of requests from one host. Left is the rest of the time, in
+// milliseconds.
+type HoldOff struct {
+	Server string
+	Born   int64
+	Host   string
+	Left   clock.Millis
+}
+
 // Decision is the reply to a Request. Server is empty if the request is refused.
 type Decision struct {
 	ID     string
@@ -331,6 +340,22 @@
 	s.rateAt = at
 }
 
+// SetHoldOff records that a server wants no requests from a host for a time. Meanwhile
+// the other hosts' requests go to it only if there is no other server, since it would
+// probably refuse them too. Afterwards it gets one request at a time until it answers one.
+func (c *Core) SetHoldOff(now clock.Millis, h HoldOff) {
+	s := c.servers[h.Server]
+	if s == nil || s.Born != h.Born {
+		return
+	}
+	if s.holdOffs == nil {
+		s.holdOffs = map[string]clock.Millis{}
+	}
+	s.holdOffs[h.Host] = max(s.holdOffs[h.Host], now+h.Left)
+	s.heldOffUntil = max(s.heldOffUntil, now+h.Left)
+	s.onTrial = true
+}
+
 // SetKeepers sets the number of hosts that decide for the same servers. There are several
 // for a while when hosts come, go or are cut off.
 func (c *Core) SetKeepers(now clock.Millis, n int) {
@@ -394,6 +419,7 @@
 		return
 	}
 	g.gotFirstEvent = true
+	g.server.onTrial = g.server.onTrial && now < g.server.heldOffUntil
 	g.server.lastEventHost, g.server.lastEventAt = g.Host, now
 	g.server.health.AnswerStarted()
 	if g.onlyPrefill && g.uncached >= minRateSampleTokens {
@@ -455,6 +481,7 @@
 	s := g.server
 	if o.Answered() {
 		s.lastEventHost, s.lastEventAt = g.Host, now
+		s.onTrial = s.onTrial && now < s.heldOffUntil
 	}
 	if s.lastEventAt > g.grantedAt && s.lastEventHost != g.Host {
 		return
--- a/internal/policy/grant/next.go
+++ b/internal/policy/grant/next.go
@@ -192,7 +192,7 @@
 	for _, s := range c.rankedServers {
 		switch {
 		case s.Leaving:
-		case s.health.Avoided(now):
+		case s.health.Avoided(now), now < s.heldOffUntil:
 			inBackoff = append(inBackoff, s)
 		default:
 			usable = append(usable, s)
@@ -232,7 +232,7 @@
 func (c *Core) decide(
 	now clock.Millis, q *queuedRequest, usable []*server, shortCount int, queuedPrefill float64,
 ) (Decision, bool) {
-	best, next, ok := c.best(q, usable, shortCount)
+	best, next, ok := c.best(now, q, usable, shortCount)
 	if !ok {
 		return Decision{Reason: "NoServer", RetryAfter: noServerRetryAfter}, true
 	}
@@ -308,11 +308,11 @@
 
 // best returns the two candidates with the least cost. Calls go to servers of equal cost
 // in turn; prompts go to the first by hash, so that it is the same for each prompt.
-func (c *Core) best(q *queuedRequest, usable []*server, shortCount int) (best, next candidate, found bool) {
+func (c *Core) best(now clock.Millis, q *queuedRequest, usable []*server, shortCount int) (best, next candidate, found bool) {
 	short := c.short(c.class(q.Class))
 	var o candidate
 	for i, s := range usable {
-		if slices.Contains(q.Avoid, s.ID) {
+		if s.excludedFor(now, q) {
 			continue
 		}
 		c.evaluate(q, s, &o)
@@ -342,7 +342,7 @@
 	o.uncached, o.segmentPending = s.uncachedAfterPending(q)
 	o.prefill = c.prefillTime(o.uncached)
 	o.cost = o.startDelay + o.prefill + c.settings.RunningCost*float64(s.running)
-	if s.Slots > 0 && s.running >= s.Slots {
+	if (s.Slots > 0 && s.running >= s.Slots) || (s.onTrial && s.running > 0) {
 		o.full = true
 		o.cost += fullCost
 	}
--- a/internal/policy/grant/server.go
+++ b/internal/policy/grant/server.go
@@ -40,6 +40,12 @@
 	bucket    *limit.Bucket
 	namedRate float64
 	rateAt    clock.Millis
+	// holdOffs are the times until which the server wants no requests from hosts, by host,
+	// and heldOffUntil is the last of them. onTrial is set from the first hold-off until
+	// the server has answered a request after all of them.
+	holdOffs     map[string]clock.Millis
+	heldOffUntil clock.Millis
+	onTrial      bool
 	// limitWait is the time until the bucket has a token, in milliseconds, and
 	// plannedRequests the number of queued requests for which this server is the best.
 	// Both are valid during one round of decisions.
@@ -115,6 +121,15 @@
 	}
 }
 
+// excludedFor reports whether a request may not go to the server, because its host has tried
+// or avoids the server, or is held off by it.
+func (s *server) excludedFor(now clock.Millis, q *queuedRequest) bool {
+	if until, ok := s.holdOffs[q.Host]; ok && now >= until {
+		delete(s.holdOffs, q.Host)
+	}
+	return now < s.holdOffs[q.Host] || slices.Contains(q.Avoid, s.ID)
+}
+
 // setRate sets the rate that the server has named, 0 for none, and the share of it that
 // this keeper may grant.
 func (s *server) setRate(now clock.Millis, rate, share float64) {
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -295,6 +295,10 @@
 	return ids
 }
 
+// Servers returns the servers of a service that are not leaving. The slice must not be
+// modified.
+func (p *Placer) Servers(service string) []fleet.Server { return p.servers[service] }
+
 // Server returns a server by its ID.
 func (p *Placer) Server(service, id string) (fleet.Server, bool) {
 	for _, s := range p.servers[service] {
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -95,14 +96,35 @@
 	return j.proxy.Broker.SegmentServer(j.service, prefix[len(prefix)-1].Name)
 }
 
-// requestGrant sends a grant request to the keeper. It excludes the servers that
-// this host avoids or has already tried. It returns broker.ErrNoKeeper if this host
-// must decide alone.
+// maxGrants bounds the grants that are requested for one attempt if the keeper grants
+// servers that this host knows better not to use.
+const maxGrants = 3
+
+// requestGrant requests grants from the keeper until it grants a server that this host may
+// use. It returns broker.ErrNoKeeper if this host must decide alone.
 func (j *job) requestGrant(ctx context.Context) (place.Choice, *refuse.Refusal, error) {
+	var unusable []string
+	for range maxGrants {
+		choice, refusal, err := j.requestGrantOnce(ctx, unusable)
+		if !errors.Is(err, errUnusable) {
+			return choice, refusal, err
+		}
+		unusable = append(unusable, j.decision.Server)
+	}
+	return place.Choice{}, nil, broker.ErrNoKeeper
+}
+
+// errUnusable reports the grant of a server that this host may not use.
+var errUnusable = errors.New("the keeper granted a server that is leaving, unknown here or holds this host off")
+
+// requestGrantOnce sends a grant request to the keeper. It excludes the servers that
+// this host avoids or has already tried, those that hold it off, and unusable ones.
+func (j *job) requestGrantOnce(ctx context.Context, unusable []string) (place.Choice, *refuse.Refusal, error) {
 	p := j.proxy
 	now := p.Clock.Now()
 	p.mu.Lock()
-	avoid := append(p.Placer.AvoidedServers(now, j.service), j.place.Avoid...)
+	heldOff, _ := p.heldOff(j.service)
+	avoid := slices.Concat(p.Placer.AvoidedServers(now, j.service), j.place.Avoid, heldOff, unusable)
 	p.mu.Unlock()
 	j.grantRequests++
 	request := grant.Request{
@@ -128,16 +150,18 @@
 	j.decision = d
 	j.liftLimits(now, request)
 	j.placedBy, j.waited, j.startDelay = d.Reason, j.waited+d.Waited, d.StartDelay
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if d.Server == "" {
+		if heldOff, wait := p.heldOff(j.service); d.Reason == keeperHasNoServer && len(heldOff) > 0 {
+			return place.Choice{}, refuse.New(refuse.ReasonFull).WithRetryAfter(max(wait, minRetryAfter)), nil
+		}
 		return place.Choice{}, keeperRefusal(d), nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	s, ok := p.Placer.Server(j.service, d.Server)
-	if !ok {
-		// The keeper knows a server that is not, or no longer, in this host's list.
+	if !ok || p.notices.HeldOff(p.Clock.Boot(), s) > 0 {
 		p.Broker.Ended(request.ID, place.OutcomeCancelled)
-		return place.Choice{}, nil, broker.ErrNoKeeper
+		return place.Choice{}, nil, errUnusable
 	}
 	j.grant = request.ID
 	return place.Choice{Server: s, Reason: d.Reason, Open: p.Placer.Open(s)}, nil, nil
@@ -147,10 +171,14 @@
 // an earlier retry would find nothing changed.
 const minRetryAfter = 200 * clock.Millis(1)
 
+// keeperHasNoServer is the reason of a keeper without a server that the request may use.
+const keeperHasNoServer = "NoServer"
+
 // keeperReasons maps the reasons of a keeper's refusal to those for callers. A keeper
 // that cannot serve the request in time counts as full to the caller.
 var keeperReasons = map[string]refuse.Reason{
-	"NoServer":  refuse.ReasonNoServer,
+	keeperHasNoServer: refuse.ReasonNoServer,
+
 	"OutOfTime": refuse.ReasonFull,
 	"QueueFull": refuse.ReasonFull,
 
--- a/internal/serve/proxy/limits.go
+++ b/internal/serve/proxy/limits.go
@@ -83,12 +83,17 @@
 }
 
 // chooseAlone selects a server without a keeper. A server with a rate limit gets this
-// host's share of it, as if all hosts decided alone. The caller holds Proxy.mu.
+// host's share of it, as if all hosts decided alone, and one that holds this host off gets
+// nothing. The caller holds Proxy.mu.
 func (j *job) chooseAlone(now clock.Millis) (place.Choice, *refuse.Refusal) {
 	p := j.proxy
 	request := j.place
-	request.Avoid = slices.Clone(j.place.Avoid)
+	heldOff, wait := p.heldOff(j.service)
+	request.Avoid = slices.Concat(j.place.Avoid, heldOff)
 	shortest := clock.Millis(-1)
+	if len(heldOff) > 0 {
+		shortest = wait
+	}
 	for {
 		choice, ok := p.Placer.Choose(now, request)
 		if !ok && shortest >= 0 {
--- a/internal/serve/proxy/notices.go
+++ b/internal/serve/proxy/notices.go
@@ -1,6 +1,12 @@
 package proxy
 
 import (
+	"math/rand/v2"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/notice"
@@ -21,6 +27,22 @@
 			j.noteLeaving(choice.Server)
 		}
 	}
+	if p.Fields.HoldOff == "" || response.Status != fasthttp.StatusServiceUnavailable {
+		return
+	}
+	var values []string
+	for _, h := range response.Headers {
+		if strings.EqualFold(h.Name, p.Fields.HoldOff) {
+			values = append(values, h.Value)
+		}
+	}
+	wait, ok := notice.ParseHoldOff(values)
+	if !ok {
+		j.recordOddField("HoldOff", choice, strings.Join(values, " | "))
+	}
+	if wait > 0 {
+		j.noteHoldOff(choice.Server, wait)
+	}
 }
 
 func (j *job) recordOddField(field string, choice place.Choice, text string) {
@@ -77,6 +99,40 @@
 	return p.notices.Entries()
 }
 
+// noteHoldOff sends no requests to a server for a time, and tells its keeper.
+func (j *job) noteHoldOff(s fleet.Server, wait clock.Millis) {
+	p := j.proxy
+	p.mu.Lock()
+	p.notices.AddHoldOff(p.Clock.Boot(), s, wait, rand.Float64())
+	p.mu.Unlock()
+	j.log("A server wants no requests for a while.", "server", s.ID, "for", wait)
+	if p.Broker != nil {
+		p.Broker.NoteHoldOff(j.service, s, wait)
+	}
+}
+
+// heldOff returns the IDs of the service's servers that want no requests from this host, and
+// the time until the first of them does, in milliseconds. The caller holds Proxy.mu.
+func (p *Proxy) heldOff(service string) ([]string, clock.Millis) {
+	now := p.Clock.Boot()
+	if p.notices.HoldOffs(now) == 0 {
+		return nil, 0
+	}
+	var ids []string
+	shortest := clock.Millis(0)
+	for _, s := range p.Placer.Servers(service) {
+		left := p.notices.HeldOff(now, s)
+		if left == 0 {
+			continue
+		}
+		ids = append(ids, s.ID)
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return ids, shortest
+}
+
 // applyServers passes the list of servers on. The caller holds the lock.
 func (p *Proxy) applyServers() {
 	all := p.notices.Mark(p.servers)
--- a/internal/serve/proxy/notices_test.go
+++ b/internal/serve/proxy/notices_test.go
@@ -136,3 +136,68 @@
 		c.Check(r.count.Gauge(meter.Servers, meter.Label("state", "Leaving")), qt.Equals, want, qt.Commentf("%s", behavior))
 	}
 }
+
+// The users allow two requests between half a second after the refusal and the end of the
+// hold-off.
+func TestServerThatHoldsOffGetsNoRequests(t *testing.T) {
+	const wait = 2 * time.Second
+	for _, k := range noticeLoads {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			c, r := start(t, 2, k.prompts)
+			var arrivals arrivalTimes
+			o := &origin.Origin{Stream: k.prompts, OnRequest: arrivals.record}
+			o.SetHoldOff(fmt.Sprint(wait.Seconds()))
+			r.addServer(o)
+			r.forwarder.SetServers(r.serverList())
+			if k.broker {
+				r.withBroker()
+			}
+			time.AfterFunc(wait/2, func() { o.SetHoldOff("") })
+			_, failed := r.load(k.path, k.prompts, 10, 30*time.Millisecond, 2*wait)
+			first := arrivals.times[0]
+			c.Check(arrivals.between(first.Add(500*time.Millisecond), first.Add(wait)) <= 2, qt.IsTrue,
+				qt.Commentf("%d requests", arrivals.between(first.Add(500*time.Millisecond), first.Add(wait))))
+			c.Check(arrivals.between(first.Add(wait), time.Now()) > 0, qt.IsTrue)
+			// Two servers are idle. The route of prompts allows one server only, so that those
+			// that find out are refused.
+			refused := 0
+			if k.prompts {
+				refused = arrivals.between(time.Time{}, first.Add(500*time.Millisecond))
+			}
+			c.Check(failed <= refused, qt.IsTrue, qt.Commentf("%d failed", failed))
+		})
+	}
+}
+
+func TestCallersAreToldTheHoldOffOfAllServers(t *testing.T) {
+	for _, broker := range []bool{false, true} {
+		c, r := start(t, 2, broker)
+		path, header := "/booking/x", "Content-Length: 0\r\n"
+		if broker {
+			r.withBroker()
+			path, header = "/chat/x", header+fields.PromptSegments+": shared:350,own:900\r\n"
+		}
+		for _, o := range r.servers {
+			o.SetHoldOff("3")
+		}
+		r.send("POST", path, "r1", header)
+		r.send("POST", path, "r2", header)
+		got := r.send("POST", path, "r3", header)
+		c.Check(got.status, qt.Equals, 503)
+		var wait float64
+		_, err := fmt.Sscan(got.headers.Get("Retry-After"), &wait)
+		c.Assert(err, qt.IsNil)
+		c.Check(wait > 2.5 && wait < 4, qt.IsTrue, qt.Commentf("%g s", wait))
+		c.Check(r.runs("r3"), qt.Equals, 0)
+	}
+}
+
+func TestUnreadableHoldOffIsCounted(t *testing.T) {
+	c, r := start(t, 1, false)
+	r.servers[0].SetHoldOff("-4")
+	r.send("POST", "/booking/x", "r1", "Content-Length: 0\r\n")
+	r.servers[0].SetHoldOff("")
+	c.Assert(r.send("POST", "/booking/x", "r2", "Content-Length: 0\r\n").status, qt.Equals, 200)
+	c.Assert(r.count.Count(meter.OddFields, meter.Label("field", "HoldOff")), qt.Equals, int64(1))
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -216,6 +216,7 @@
 	state("Leaving", leaving)
 	state("Avoided", avoided)
 	state("Limited", p.limits.Count())
+	state("HeldOff", p.notices.HoldOffs(p.Clock.Boot()))
 	state("Usable", len(view.Servers)-leaving-avoided)
 }
 
--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -130,6 +130,7 @@
 	b.Link.Handle(kindReport, b.handleReport)
 	b.Link.Handle(kindLimit, b.handleLimit)
 	b.Link.Handle(kindActive, b.handleActive)
+	b.Link.Handle(kindHoldOff, b.handleHoldOff)
 }
 
 // SetServers replaces the list of servers.
@@ -412,6 +413,34 @@
 	}
 }
 
+// NoteHoldOff tells the keepers of a server, now and next, that it wants no requests from
+// this host for a time in milliseconds.
+func (b *Broker) NoteHoldOff(service string, s fleet.Server, left clock.Millis) {
+	p, ok := b.poolOf(service, s.ID)
+	if !ok {
+		return
+	}
+	m := holdOffMessage{Service: p.service, Pool: p.index, Server: s.ID, Born: s.Born, Left: left}
+	for _, keeper := range b.keepers(p) {
+		if keeper == b.Self {
+			b.poolKeeper(p).holdOff(b.Self, m)
+			continue
+		}
+		if err := b.Link.Send(keeper, kindHoldOff, m); err != nil {
+			b.Log.Debug("Sending a server's hold-off to its keeper failed.", "keeper", keeper, "server", s.ID, "err", err)
+		}
+	}
+}
+
+func (b *Broker) handleHoldOff(_ context.Context, from link.Peer, body []byte) (any, error) {
+	var m holdOffMessage
+	if err := link.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	b.poolKeeper(pool{m.Service, m.Pool}).holdOff(from.Name, m)
+	return nil, nil
+}
+
 func (b *Broker) sendLimit(p pool, l grant.Limit) {
 	for _, keeper := range b.keepers(p) {
 		if keeper == b.Self {
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -100,7 +100,7 @@
 		return
 	}
 	for _, s := range k.servers {
-		if key := queryKey(s); !k.queried[key] {
+		if key := queryKey(s); !k.queried[key] && !s.Leaving {
 			k.queried[key] = true
 			go k.loadCached(s)
 		}
@@ -241,6 +241,14 @@
 	k.decide()
 }
 
+// holdOff records that a server wants no requests from a host for a time.
+func (k *poolKeeper) holdOff(host string, m holdOffMessage) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.core.SetHoldOff(k.clock.Now(), grant.HoldOff{Server: m.Server, Born: m.Born, Host: host, Left: m.Left})
+	k.decide()
+}
+
 func (k *poolKeeper) handleReport(m reportMessage) {
 	for _, r := range m.Running {
 		if k.guard == nil {
--- a/internal/share/broker/wire.go
+++ b/internal/share/broker/wire.go
@@ -14,6 +14,7 @@
 	kindReport  = "GrantReport"
 	kindLimit   = "RateLimit"
 	kindActive  = "KeeperActive"
+	kindHoldOff = "HoldOff"
 )
 
 // requestMessage is a grant request to a pool's keeper. The keeper replies with a
@@ -66,6 +67,16 @@
 	Limit   grant.Limit
 }
 
+// holdOffMessage tells a keeper that a server wants no requests from the sender for a time in
+// milliseconds.
+type holdOffMessage struct {
+	Service string
+	Pool    int
+	Server  string
+	Born    int64
+	Left    clock.Millis
+}
+
 type runningRequest struct {
 	Request grant.Request
 	Server  string
