Odd records of other writers cost themselves alone

Records of servers were decoded by type only: a port of 99999, 1e30 or -5 slots (whose conversion depends on the processor and went into keepers' sums), a rest of 1e300 ms and addresses that are none were taken as servers. In the table of hosts a record with 1e300 cores made all others too weak for keepers, one of another name stood for a host that has its own, and a row in place of the shared secret became the secret.

plat/record decodes all records that others can write: size, depth, whole numbers and times in a range and converted alike on each processor, names of visible ASCII, addresses that can be dialed. A server whose record turns odd is dropped: it names no server to use, and the last good one may be of a server that has gone or whose address another service has. The line in the log comes once for a version.

TestUnusableRecordCostsOnlyItsOwnServer (between good ones, on change, after lost history, on a second host) did not, but for the lines.

--- a/internal/share/guard/spread.go
+++ b/internal/share/guard/spread.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/plat/record"
 	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/policy/poison"
 	"siskinsaddle/internal/share/link"
@@ -41,14 +42,16 @@
 // maxRowKeyBytes is the length of the store's longest key.
 const maxRowKeyBytes = 200
 
-// record is the record of a quarantined segment.
-type record struct {
+// storedEntry is the record of a quarantined segment.
+type storedEntry struct {
 	Service string
 	Segment string
 	// Until is the end of the quarantine in Unix time, in milliseconds.
 	Until clock.Millis
 }
 
+func (s storedEntry) rowKey() string { return rowKeyPrefix + s.Service + "/" + s.Segment }
+
 const (
 	// shareTimeout is the timeout for telling one host, shareRetry the delay after a
 	// failure, both in milliseconds. Hosts that cannot be reached for shareRetries times
@@ -194,18 +197,18 @@
 
 // store writes the record of a entry, and retries until the quarantine has ended.
 func (g *Guard) store(ctx context.Context, v Entry) {
-	key := rowKeyPrefix + v.Service + "/" + v.Segment
+	stored := storedEntry{Service: v.Service, Segment: v.Segment, Until: g.Clock.Wall() + v.Left}
+	key := stored.rowKey()
 	if g.Commit == nil || len(key) > maxRowKeyBytes {
 		return
 	}
-	until := g.Clock.Wall() + v.Left
-	value, err := json.Marshal(record{Service: v.Service, Segment: v.Segment, Until: until})
+	value, err := json.Marshal(stored)
 	if err != nil {
 		g.Log.Error("Encoding the record of a quarantine failed.", "err", err)
 		return
 	}
 	change := rows.Change{Writes: []rows.Row{{Table: g.Table, Key: key, Value: value}}, Removes: g.takeExpired(key)}
-	for delay := shareRetry; g.Clock.Wall() < until; delay = min(2*delay, maxCommitDelay) {
+	for delay := shareRetry; g.Clock.Wall() < stored.Until; delay = min(2*delay, maxCommitDelay) {
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout.Duration())
 		_, err := g.Commit(callCtx, change)
 		cancel()
@@ -246,10 +249,13 @@
 	if !strings.HasPrefix(r.Key, rowKeyPrefix) {
 		return errors.New("unknown kind of record")
 	}
-	var stored record
-	if err := json.Unmarshal(r.Value, &stored); err != nil {
+	var stored storedEntry
+	if err := record.Decode(r.Value, &stored); err != nil {
 		return errors.Wrap(err, "decoding the record of a quarantine")
 	}
+	if stored.Service == "" || stored.Segment == "" || stored.rowKey() != r.Key || stored.Until < 0 {
+		return errors.New("the record of a quarantine has no service, segment or time, or those of another key")
+	}
 	left := stored.Until - g.Clock.Wall()
 	if left <= 0 {
 		g.mu.Lock()
--- a/internal/share/member/member.go
+++ b/internal/share/member/member.go
@@ -35,6 +35,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/plat/record"
 	"siskinsaddle/internal/plat/rows"
 )
 
@@ -161,8 +162,8 @@
 		return nil, 0, err
 	}
 	secret := found.secret.Value
-	if found.secret.Version == 0 {
-		secret, err = r.createSecret(ctx)
+	if !found.hasSecret() {
+		secret, err = r.createSecret(ctx, found.secret.Version)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -181,6 +182,9 @@
 	return secret, incarnation(reply.Revision()), nil
 }
 
+// hasSecret reports whether the table has a secret that a host has created.
+func (f records) hasSecret() bool { return f.secret.Version > 0 && len(f.secret.Value) == secretBytes }
+
 // register writes this host's record.
 func (r *Registry) register(ctx context.Context) (rows.Reply, error) {
 	value, err := json.Marshal(r.Self)
@@ -221,7 +225,7 @@
 	r.mu.Lock()
 	secret, era := r.secret, r.secretEra
 	r.mu.Unlock()
-	same := found.secret.Version > 0 && bytes.Equal(found.secret.Value, secret)
+	same := found.hasSecret() && bytes.Equal(found.secret.Value, secret)
 	if !same && era < found.era {
 		written := rows.Row{Table: r.Table, Key: secretKey, Value: secret}
 		expected := rows.Row{Table: r.Table, Key: secretKey, Version: found.secret.Version}
@@ -247,14 +251,14 @@
 	r.Adopt(others, version)
 }
 
-// createSecret writes a new secret, or returns the one that another host has written
-// concurrently.
-func (r *Registry) createSecret(ctx context.Context) ([]byte, error) {
+// createSecret writes a new secret in place of a row with a version, 0 for none, or returns
+// the one that another host has written concurrently.
+func (r *Registry) createSecret(ctx context.Context, version int64) ([]byte, error) {
 	secret := make([]byte, secretBytes)
 	if _, err := crand.Read(secret); err != nil {
 		return nil, errors.Wrap(err, "generating the secret shared by the hosts")
 	}
-	row := rows.Row{Table: r.Table, Key: secretKey, Value: secret}
+	row := rows.Row{Table: r.Table, Key: secretKey, Value: secret, Version: version}
 	_, err := r.Store.Commit(ctx, rows.Change{Expect: []rows.Row{row}, Writes: []rows.Row{row}})
 	if err == nil {
 		return secret, nil
@@ -263,7 +267,7 @@
 		return nil, err
 	}
 	found, err := r.readRecords(ctx)
-	if err == nil && found.secret.Version == 0 {
+	if err == nil && !found.hasSecret() {
 		err = errors.New("the secret shared by the hosts is missing after a write conflict")
 	}
 	return found.secret.Value, err
@@ -292,8 +296,8 @@
 			r.readOther(row)
 			continue
 		}
-		var m Member
-		if err := json.Unmarshal(row.Value, &m); err != nil || m.Name == "" || m.Address == "" {
+		m, err := decodeMember(row)
+		if err != nil {
 			r.Log.Warn("A host's record was ignored: it is invalid.", "key", row.Key, "err", err)
 			continue
 		}
@@ -308,6 +312,29 @@
 	return found, nil
 }
 
+// maxCores bounds the cores of a host. The strongest host decides which others may be keepers.
+const maxCores = 1_024
+
+// decodeMember decodes a host's record. Another program may have written it.
+func decodeMember(row rows.Row) (Member, error) {
+	var m Member
+	if err := record.Decode(row.Value, &m); err != nil {
+		return Member{}, err
+	}
+	for _, err := range []error{record.CheckName(m.Name), record.CheckAddress(m.Address)} {
+		if err != nil {
+			return Member{}, err
+		}
+	}
+	if memberKeyPrefix+m.Name != row.Key {
+		return Member{}, errors.Newf("the record is of host %q", m.Name)
+	}
+	if !(m.Cores > 0 && m.Cores <= maxCores) {
+		return Member{}, errors.Newf("a host has no %g cores", m.Cores)
+	}
+	return m, nil
+}
+
 // readSettled reads the settled era. The row may be one of an earlier era.
 func (r *Registry) readSettled(found records) error {
 	if found.settled.Version == 0 {
@@ -343,7 +370,7 @@
 // restore, written again by a host that had it.
 func (r *Registry) checkSecret(found records) {
 	r.mu.Lock()
-	changed := r.secret != nil && found.era == r.secretEra && found.secret.Version > 0 && !bytes.Equal(found.secret.Value, r.secret)
+	changed := r.secret != nil && found.era == r.secretEra && found.hasSecret() && !bytes.Equal(found.secret.Value, r.secret)
 	if changed {
 		r.secret = found.secret.Value
 	}
--- a/internal/share/member/member_test.go
+++ b/internal/share/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -94,3 +95,47 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(other), qt.Equals, string(secret))
 }
+
+// Another program may write to the table of hosts.
+func TestOddRowsAmongTheHostsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	s := memdb.New(clock.System())
+	for key, value := range map[string]string{
+		"host/odd-cores":   `{"Name": "odd-cores", "Address": "10.0.0.9:1", "FailureDomain": "a", "Cores": 1e300}`,
+		"host/no-cores":    `{"Name": "no-cores", "Address": "10.0.0.9:1", "FailureDomain": "a", "Cores": -1}`,
+		"host/odd-port":    `{"Name": "odd-port", "Address": "10.0.0.9:99999", "FailureDomain": "a", "Cores": 1}`,
+		"host/other-name":  `{"Name": "a", "Address": "10.0.0.9:1", "FailureDomain": "a", "Cores": 1}`,
+		"host/deep":        strings.Repeat("[", 20_000),
+		"host/odd\r\nname": `{"Name": "odd\r\nname", "Address": "10.0.0.9:1", "FailureDomain": "a", "Cores": 1}`,
+		"settled":          "1e30",
+		"unknown":          strings.Repeat("{", 20_000),
+	} {
+		s.Put("hosts", key, []byte(value))
+	}
+	for _, name := range []string{"a", "b"} {
+		_, _, err := newRegistry(s, name).Join(context.Background())
+		c.Assert(err, qt.IsNil)
+	}
+	r := newRegistry(s, "c")
+	_, _, err := r.Join(context.Background())
+	c.Assert(err, qt.IsNil)
+	var names []string
+	for _, m := range r.Members() {
+		names = append(names, m.Name)
+	}
+	c.Assert(names, qt.DeepEquals, []string{"a", "b", "c"})
+}
+
+func TestSecretThatNoHostHasCreatedIsReplaced(t *testing.T) {
+	for _, odd := range []string{"", "x", strings.Repeat("x", 60_000)} {
+		c := qt.New(t)
+		s := memdb.New(clock.System())
+		s.Put("hosts", "secret", []byte(odd))
+		first, _, err := newRegistry(s, "a").Join(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(first, qt.HasLen, 32)
+		second, _, err := newRegistry(s, "b").Join(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(second, qt.DeepEquals, first)
+	}
+}
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -138,6 +138,8 @@
 	mu              sync.Mutex
 	fleet           *fleet.Fleet
 	storeDown       bool
+	// unusable has the versions of servers' records that were logged as unusable.
+	unusable map[string]int64
 	// era is the newest era of the store, valid if eraKnown is set.
 	era      int64
 	eraKnown bool
@@ -156,6 +158,7 @@
 func (w *Watcher) prepare() {
 	w.once.Do(func() {
 		w.fleet = fleet.New(recoveryGrace, missingGrace, restoreGrace)
+		w.unusable = map[string]int64{}
 		w.viewID.Store(rand.Int64())
 	})
 }
@@ -568,13 +571,19 @@
 
 func (w *Watcher) server(row rows.Row) (fleet.Server, bool) {
 	s, err := w.Source.Server(row)
-	if err != nil {
-		w.Log.Warn("A server's record cannot be used.", "err", err)
-		return fleet.Server{}, false
+	if err == nil {
+		return s, true
+	}
+	if w.unusable[row.Key] != row.Version && len(w.unusable) < maxUnusable {
+		w.Log.Warn("A server's record cannot be used; the other records are.", "key", row.Key, "version", row.Version, "err", err)
+		w.unusable[row.Key] = row.Version
 	}
-	return s, true
+	return fleet.Server{}, false
 }
 
+// maxUnusable bounds the records that are logged as unusable.
+const maxUnusable = 1_000
+
 // recordFailure records a failed call for the servers. From the first failure on the
 // list counts as unconfirmed. The second failure in a row publishes a view with
 // StoreDown set; the first does not, since it may be that of a connection.
--- a/internal/share/watch/watch_test.go
+++ b/internal/share/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,43 @@
 	s.Put("servers", "a", []byte("10.0.0.1:2"))
 	eventually(func() bool { v := w.View(); return len(v.Servers) == 1 && v.Servers[0].Address == "10.0.0.1:2" })
 }
+
+// The odd records stand between good ones, replace one, and are read again.
+func TestUnusableRecordCostsOnlyItsOwnServer(t *testing.T) {
+	c := qt.New(t)
+	s := memdb.New(clock.System())
+	s.Put("op", "manifest", []byte("1"))
+	var lines strings.Builder
+	for _, key := range []string{"a", "c", "e"} {
+		s.Put("servers", key, []byte("10.0.0.1:1"))
+	}
+	s.Put("servers", "b", nil)
+	first := newWatcher(s)
+	first.Log = logs.Limit(logs.NewPlain(&lines, logs.LevelInfo), clock.System(), nil)
+	run(c, first)
+	ids := func(w *watch.Watcher) string {
+		all := ""
+		for _, s := range w.View().Servers {
+			all += s.ID
+		}
+		return all
+	}
+	await := func(w *watch.Watcher, want string) {
+		for deadline := time.Now().Add(5 * time.Second); ids(w) != want && time.Now().Before(deadline); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Assert(ids(w), qt.Equals, want)
+	}
+	await(first, "ace")
+	s.Put("servers", "c", nil)
+	s.Put("servers", "d", nil)
+	s.Put("servers", "f", []byte("10.0.0.1:1"))
+	await(first, "aef")
+	s.Compact()
+	s.Put("servers", "c", []byte("10.0.0.1:1"))
+	await(first, "acef")
+	c.Assert(strings.Count(lines.String(), "cannot be used"), qt.Equals, 3)
+	second := newWatcher(s)
+	run(c, second)
+	await(second, "acef")
+}
