A stopping host refuses the requests that it could not finish

Cause: from 2.8 s on requests that wait for a grant are refused, by cancelling their contexts. For a new request that is a race: context.AfterFunc cancels in a goroutine, and a keeper that grants at once is faster. Plain calls and hosts without a keeper were not refused at all. The connection was kept because its last response had begun before the host began to say that it closes.

Now a request that arrives after that time is refused before anything else: 503, not run, the connection closed. TestDrainingHostRefusesNewRequestsAtOnce failed before.

--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -206,3 +206,20 @@
 		time.Sleep(time.Millisecond) // loops forever if the server's connection stays open
 	}
 }
+
+// A kept connection can carry requests for as long as its responses began before the stop.
+func TestDrainingHostRefusesNewRequestsAtOnce(t *testing.T) {
+	c, r := start(t, 2, true)
+	r.withBroker()
+	r.forwarder.Drain()
+	for i := range 100 {
+		for _, path := range []string{"/chat/x", "/once/x"} {
+			id := fmt.Sprint(path, i)
+			got := r.send("POST", path, id, fmt.Sprintf("%s: own-%d:900\r\nContent-Length: 0\r\n", fields.PromptSegments, i))
+			c.Assert(got.status, qt.Equals, 503, qt.Commentf("%s", id))
+			c.Assert(got.body, qt.Contains, "Stopping")
+			c.Assert(got.closes, qt.IsTrue)
+			c.Assert(r.runs(id), qt.Equals, 0)
+		}
+	}
+}
--- a/internal/serve/proxy/choose.go
+++ b/internal/serve/proxy/choose.go
@@ -17,8 +17,11 @@
 // choose selects a server for the next attempt. For prompts the service's keeper
 // decides; if no keeper is reachable, and for plain calls, this host decides alone. It
 // refuses prompts with a quarantined segment, also if the quarantine began while they
-// waited.
+// waited, and all requests that arrive too late to be finished before this host stops.
 func (j *job) choose(ctx context.Context) (place.Choice, *refuse.Refusal) {
+	if j.proxy.draining.Err() != nil && len(j.place.Avoid) == 0 {
+		return place.Choice{}, refuse.New(refuse.ReasonStopping).WithRetryAfter(minRetryAfter)
+	}
 	if refusal := j.quarantined(); refusal != nil {
 		return place.Choice{}, refusal
 	}
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -191,6 +191,7 @@
 	status  int
 	body    string
 	whole   bool
+	closes  bool
 	headers http.Header
 }
 
@@ -220,7 +221,7 @@
 	}
 	body, err := io.ReadAll(received.Body)
 	_ = received.Body.Close() // an error of the body was returned by ReadAll
-	return response{status: received.StatusCode, body: string(body), whole: err == nil, headers: received.Header}
+	return response{status: received.StatusCode, body: string(body), whole: err == nil, closes: received.Close, headers: received.Header}
 }
 
 func isOriginResponse(body string) bool { return strings.HasPrefix(body, "answer of i-") }
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -256,7 +256,8 @@
 
 // refuse sends a refusal to the caller and logs it.
 func (j *job) refuse(r *refuse.Refusal) {
-	if r.Reason == refuse.ReasonUnconfirmed || r.Reason == refuse.ReasonNotReady {
+	switch r.Reason {
+	case refuse.ReasonUnconfirmed, refuse.ReasonNotReady, refuse.ReasonStopping:
 		// With a new connection the caller can reach another host.
 		j.writer.CloseAfter()
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// Drain refuses all current and future requests that wait for a grant, because a
+// Drain refuses all requests that wait for a grant or arrive from now on, because a
 // stopping host could not finish them. They have not run.
 func (p *Proxy) Drain() { p.startDrain() }
 
