Responses that belong to other requests cost none, and unnamed refusals promise nothing

Two faults of bytes that belong to no request:

A refusal without an id, written once more on a kept connection, was taken for the server's statement that the request had not run: the booking was sent to a second server (2 runs) or its caller told 503, while the first one ran it (TestUnnamedRefusalOnKeptConnectionPromisesNothing). Now a refusal counts only if it names its request; without a name the outcome is unknown.

A response that names another request ended the attempt, so that an unsafe call got 502 though the right answer stood behind it. wire reads and passes over up to four of them, within the time and size of the right response, and closes the connection afterwards (TestStrayResponsesBeforeTheRightOneCostNoRequest failed before for strays and refusals).

Unavoidable: bytes that are no response or have no end, or are cut off, break the connection and leave an unsafe call unknown; a late answer without any id is believed. Interim responses were passed over before. Status 101 now counts as broken.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -21,6 +21,8 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -57,6 +59,13 @@
 	Stray Behavior = "Stray"
 	// Extra sends a response with another request's id after the right one.
 	Extra Behavior = "Extra"
+	// StrayRefusal sends the refusal of another request before the right response, and
+	// UnnamedRefusal one without an id. LateCopy sends the right response once more a
+	// little later. Informational sends a response of class 1xx before the right one.
+	StrayRefusal   Behavior = "StrayRefusal"
+	UnnamedRefusal Behavior = "UnnamedRefusal"
+	LateCopy       Behavior = "LateCopy"
+	Informational  Behavior = "Informational"
 	// Unframed sends a response without a Content-Length, delimited by the close of
 	// the connection.
 	Unframed Behavior = "Unframed"
@@ -405,6 +414,16 @@
 		return false
 	case Stray:
 		return o.writePlain(c, 200, "another-request", "stray", "") && o.writeAnswer(c, r, behavior)
+	case StrayRefusal:
+		return o.writeError(c, "another-request", NotRun) && o.writeAnswer(c, r, behavior)
+	case UnnamedRefusal:
+		return o.writeError(c, "", NotRun) && o.writeAnswer(c, r, behavior)
+	case Informational:
+		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
+		return err == nil && o.writeAnswer(c, r, behavior)
+	case LateCopy:
+		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
+		return o.writeAnswer(c, r, behavior)
 	case Extra:
 		return o.writeAnswer(c, r, behavior) && o.writePlain(c, 200, "another-request", "extra", "")
 	case Unframed:
@@ -419,6 +438,10 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// maxCopyDelay is the longest delay of a LateCopy: about the time until the connection is used
+// again under load.
+const maxCopyDelay = 3 * time.Millisecond
+
 // writeError answers with an error, which says so if the request did not run.
 func (o *Origin) writeError(c net.Conn, id string, behavior Behavior) bool {
 	if behavior == NotRun {
@@ -479,8 +502,12 @@
 // writePlain writes a response with a Content-Length. extraFields are header lines,
 // each ending in CRLF.
 func (o *Origin) writePlain(c net.Conn, status int, id, body, extraFields string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n%s",
-		status, len(body), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, extraFields+o.statementFields(), body)
+	named := ""
+	if id != "" {
+		named = o.Fields.RequestID + ": " + id + "\r\n"
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n%s%s: stamp-%s\r\n%s\r\n%s",
+		status, len(body), named, o.Fields.ServerStamp, o.ID, extraFields+o.statementFields(), body)
 	return err == nil
 }
 
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -96,6 +96,8 @@
 		Host:             r.Host,
 		Headers:          j.headers(choice.Server.ID),
 		Body:             r.Body,
+		IDField:          j.proxy.Fields.RequestID,
+		ID:               j.id,
 		HeaderTimeout:    wait,
 		BodyBeginTimeout: wait,
 	})
@@ -106,8 +108,12 @@
 		return failedResult(err, sent)
 	}
 	defer func() { _ = response.Body.Close() }() // the response is complete or discarded
-	if id := response.Header(j.proxy.Fields.RequestID); id != "" && id != j.id {
-		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Crossed"}
+	if response.Status < fasthttp.StatusOK {
+		// The connection does not speak HTTP any more.
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
+	}
+	if !response.Attributed && j.promisesNotRun(response) {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	}
 	if response.Status == fasthttp.StatusMisdirectedRequest {
 		// The server at this address is not the one in the Server field.
@@ -122,6 +128,19 @@
 	return got
 }
 
+// causeCrossed is the cause of a response that belongs to another request, or may.
+const causeCrossed = "Crossed"
+
+// promisesNotRun reports whether callers and this host take a response for the statement that
+// the request did not run.
+func (j *job) promisesNotRun(response wire.Response) bool {
+	switch response.Status {
+	case fasthttp.StatusMisdirectedRequest, fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout:
+		return true
+	}
+	return response.Header(j.proxy.Fields.NotRun) != ""
+}
+
 // forward forwards a server's response to the caller if it may.
 func (j *job) forward(response wire.Response, firstEventBy clock.Millis) result {
 	if response.Header(j.proxy.Fields.NotRun) != "" {
@@ -142,6 +161,8 @@
 	switch {
 	case sent == wire.SentNothing:
 		return result{outcome: place.OutcomeUnreachable, sent: retry.SentNothing, cause: "Unreachable"}
+	case errors.Is(err, wire.ErrStray):
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	case errors.Is(err, wire.ErrUnresponsive), errors.Is(err, context.DeadlineExceeded):
 		return result{outcome: place.OutcomeSilent, sent: retry.SentWhole, cause: "Silent"}
 	default:
--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,3 +225,76 @@
 		}
 	}
 }
+
+func TestStrayResponsesBeforeTheRightOneCostNoRequest(t *testing.T) {
+	for _, act := range []origin.Behavior{origin.Stray, origin.StrayRefusal, origin.Informational} {
+		for _, stream := range []bool{false, true} {
+			c, r := start(t, 1, stream)
+			path := "/booking/x"
+			if stream {
+				path = "/once/x"
+			}
+			r.send("POST", path, "first", "Content-Length: 0\r\n")
+			r.servers[0].Enqueue(act)
+			got := r.send("POST", path, "r1", "Content-Length: 0\r\n")
+			c.Check(got.status, qt.Equals, 200, qt.Commentf("%s", act))
+			c.Check(got.headers.Get("Request-Id"), qt.Equals, "r1")
+			c.Check(r.runs("r1"), qt.Equals, 1)
+		}
+	}
+}
+
+// The refusal that a faulty server writes once more on a kept connection may not even name
+// its request. The request behind it has run.
+func TestUnnamedRefusalOnKeptConnectionPromisesNothing(t *testing.T) {
+	c, r := start(t, 2, false)
+	for _, o := range r.servers {
+		o.SetDefault(origin.UnnamedRefusal)
+		o.Enqueue(origin.Answer)
+	}
+	for i := range 6 {
+		id := fmt.Sprint("r", i)
+		got := r.send("POST", "/booking/x", id, "Content-Length: 0\r\n")
+		c.Check(r.runs(id) <= 1, qt.IsTrue, qt.Commentf("%d runs", r.runs(id)))
+		if r.runs(id) > 0 {
+			c.Check(got.status == 200 || got.status == 502, qt.IsTrue, qt.Commentf("status %d", got.status))
+		}
+	}
+}
+
+// Second copies of answers arrive while their connections are being used again.
+func TestLateCopiesReachNobodyAndCostNoRequest(t *testing.T) {
+	c, r := start(t, 2, false)
+	for _, o := range r.servers {
+		n := 0
+		o.SetScript(func() (origin.Behavior, bool) {
+			n++
+			return origin.LateCopy, n%3 == 0
+		})
+	}
+	var failed, wrong atomic.Int64
+	var all sync.WaitGroup
+	for caller := range 8 {
+		all.Go(func() {
+			conn := r.dial()
+			reader := bufio.NewReader(conn)
+			for i := range 200 {
+				id := fmt.Sprintf("r-%d-%d", caller, i)
+				if _, err := io.WriteString(conn, request("POST", "/booking/", id, "Content-Length: 0\r\n")); err != nil {
+					c.Error(err)
+					return
+				}
+				got := readResponse(c, reader, "POST")
+				switch {
+				case got.status != 200:
+					failed.Add(1)
+				case got.headers.Get("Request-Id") != id || !isOriginResponse(got.body):
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	c.Check(wrong.Load(), qt.Equals, int64(0))
+	c.Check(failed.Load(), qt.Equals, int64(0))
+}
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -38,6 +38,8 @@
 	unwatch  func() bool
 	reader   *bufio.Reader
 	response *fasthttp.Response
+	// passedOver is the number of responses that belong to other requests.
+	passedOver int
 }
 
 // connect takes a connection from the pool or dials a new one. A dead pooled
@@ -111,34 +113,71 @@
 	request.SetBodyRaw(t.request.Body)
 }
 
-// receive reads the response header.
+// maxPassedOver bounds the responses to other requests before the right one.
+const maxPassedOver = 4
+
+// receive reads the header of the response to the request.
 func (t *roundTrip) receive() (Response, error) {
 	t.reader = t.pool.AcquireReader(t.conn)
 	t.response = fasthttp.AcquireResponse()
-	t.response.StreamBody = true
-	t.response.SkipBody = t.request.Method == fasthttp.MethodHead
-	if err := t.response.ReadLimitBody(t.reader, 0); err != nil {
-		return Response{}, err
+	for {
+		t.response.StreamBody = true
+		t.response.SkipBody = t.request.Method == fasthttp.MethodHead
+		if err := t.response.ReadLimitBody(t.reader, 0); err != nil {
+			return Response{}, err
+		}
+		named := ""
+		if t.request.IDField != "" && t.request.ID != "" {
+			named = string(t.response.Header.Peek(t.request.IDField))
+		}
+		if named == "" || named == t.request.ID {
+			t.conn.headerEnded()
+			return t.decode(named == t.request.ID || t.request.IDField == ""), nil
+		}
+		if err := t.passOver(); err != nil {
+			return Response{}, err
+		}
+	}
+}
+
+// passOver reads the rest of a response to another request, within the time and size of
+// the right one.
+func (t *roundTrip) passOver() error {
+	t.passedOver++
+	if t.passedOver > maxPassedOver || t.response.Header.ContentLength() == LengthToClose || t.response.ConnectionClose() {
+		return ErrStray
 	}
-	t.conn.headerEnded()
+	if stream := t.response.BodyStream(); stream != nil {
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			return err
+		}
+	}
+	_ = t.response.CloseBodyStream() // its end has been read
+	t.response.Reset()
+	return nil
+}
+
+// decode returns the response whose header was read.
+func (t *roundTrip) decode(attributed bool) Response {
 	header := &t.response.Header
 	response := Response{
-		Status:    header.StatusCode(),
-		Headers:   make([]Header, 0, header.Len()),
-		Length:    header.ContentLength(),
-		Body:      &body{roundTrip: t, stream: t.response.BodyStream()},
-		BodyBegun: t.conn.bodyBegun,
+		Status:     header.StatusCode(),
+		Headers:    make([]Header, 0, header.Len()),
+		Length:     header.ContentLength(),
+		Body:       &body{roundTrip: t, stream: t.response.BodyStream()},
+		Attributed: attributed,
+		BodyBegun:  t.conn.bodyBegun,
 	}
 	for name, value := range header.All() {
 		response.Headers = append(response.Headers, Header{Name: string(name), Value: string(value)})
 	}
-	return response, nil
+	return response
 }
 
 // finish ends a round trip whose response was read completely. The connection is
-// reused only if no unread bytes are left on it and neither side closes it.
+// reused only if it brought nothing but the response and neither side closes it.
 func (t *roundTrip) finish() {
-	reusable := t.reader.Buffered() == 0 &&
+	reusable := t.reader.Buffered() == 0 && t.passedOver == 0 &&
 		!t.response.ConnectionClose() &&
 		t.response.Header.ContentLength() != LengthToClose
 	if t.unwatch() && reusable {
@@ -179,7 +218,7 @@
 		t.pool.CloseIdleConnections()
 		return fmt.Errorf("%w: %w", ErrUnresponsive, err)
 	}
-	if errors.Is(err, ErrTooLarge) {
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrStray) {
 		return err
 	}
 	if errors.Is(err, io.EOF) {
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -17,6 +17,10 @@
 // limits of its size the connection is closed. HeaderTimeout ends a header that arrives
 // byte by byte.
 //
+// A faulty server may send responses that belong to no request of the connection or to an
+// earlier one. Those that name another request are read and passed over, and the
+// connection is closed after the right one.
+//
 // Established connections can stall for good while new ones work. A connection
 // that makes no progress for ProgressTimeout is closed, together with the idle
 // connections to its address. A pooled connection is checked before use: one that
@@ -69,6 +73,7 @@
 	ErrUnresponsive = errors.New("the backend server made no progress in time")
 	ErrBroken       = errors.New("the connection to the backend server broke")
 	ErrTooLarge     = errors.New("the response of the backend server is too large")
+	ErrStray        = errors.New("the backend server sent responses that belong to other requests")
 	ErrClosed       = errors.New("the response body is closed")
 )
 
@@ -98,6 +103,10 @@
 	Host    string
 	Headers []Header
 	Body    []byte
+	// IDField is the header field in which a response names its request, "" for none, and
+	// ID the value for this request. Responses that name another one are passed over.
+	IDField string
+	ID      string
 	// HeaderTimeout bounds the wait for the whole header of the response, in
 	// milliseconds; 0 means that each read of it has the client's ProgressTimeout.
 	HeaderTimeout clock.Millis
@@ -115,6 +124,9 @@
 	Headers []Header
 	Length  int
 	Body    io.ReadCloser
+	// Attributed is set if the response names the request, or requests have no ID. One
+	// without a name may be an earlier response that the server has sent once more.
+	Attributed bool
 	// BodyBegun ends Request.BodyBeginTimeout; it may be nil. It is called between
 	// reads of Body.
 	BodyBegun func()
