The soak plays notices of servers, odd records and bytes of other requests

New faults: a server says in its answers only that it is leaving, a server refuses with a hold-off, and another program writes odd records between those of servers and hosts. Faulty servers send refusals of other requests, refusals without an id, interim responses and late second copies. New invariants, each shown able to fail: LeavingIsHeeded and HoldOffsAreHeeded.

--- a/internal/tools/soak/callers.go
+++ b/internal/tools/soak/callers.go
@@ -159,6 +159,7 @@
 	s.Status = answer.StatusCode
 	s.Stamp = answer.Header.Get(platform.Headers.ServerStamp)
 	s.Limit = answer.Header.Get(platform.Headers.RateLimit)
+	s.Leaving = answer.Header.Get(platform.Headers.Leaving) == "1"
 	s.AnswerID = answer.Header.Get(platform.Headers.RequestID)
 	body, err := io.ReadAll(answer.Body)
 	endMarked := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -30,8 +30,10 @@
 	Body     string
 	Stamp    string
 	AnswerID string
-	// Limit is the rate limit in the response.
-	Limit string
+	// Limit is the rate limit in the response. Leaving is set if the response says that its
+	// server is leaving.
+	Limit   string
+	Leaving bool
 }
 
 // The outcomes of a request for its caller.
@@ -109,6 +111,7 @@
 	Departures []Departure
 	Crashes    []Crash
 	Limits     []Limit
+	Notices    []Notice
 	Versions   []Versions
 	Leaks      []Leak
 	// Engines is the number of engines.
@@ -173,6 +176,8 @@
 	{"SoundPromptsGoOn", soundPromptsGoOn},
 	{"RestoresAreOvercome", restoresAreOvercome},
 	{"LimitsHold", limitsHold},
+	{"LeavingIsHeeded", leavingIsHeeded},
+	{"HoldOffsAreHeeded", holdOffsAreHeeded},
 	{"LimitedServersGetTheirShare", limitedServersGetTheirShare},
 }
 
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -39,6 +39,8 @@
 	r.addPoison(crashLimit-1, allowedAfterLimit)
 	r.addLimited("i-app-7", 80_000, 2, 17)
 	r.addUnconfirmed("in-time", 61_000+boundRestore)
+	r.addLeaving("i-6", 0)
+	r.addHeldOff("i-7", 0)
 	r.add(Request{ID: "crossed", Host: 0, At: 30_500, Ended: 30_600}, 0)
 	return r
 }
@@ -48,6 +50,26 @@
 	r.add(Request{ID: id, At: at, Ended: at, Status: 503, Whole: true, Body: string(refuse.New(refuse.ReasonUnconfirmed).Body())}, 0)
 }
 
+// addLeaving records an answer that says its server is leaving, and a request to it that is
+// late by a time beyond the bound.
+func (r *Record) addLeaving(server string, late clock.Millis) {
+	at := 70_000 + boundDrain + late
+	r.add(Request{ID: server + "-told", Kind: route.KindSafe, At: 69_900, Ended: 70_000, Status: 502, Whole: true, Stamp: "stamp-" + server, Leaving: true}, 1)
+	r.add(Request{ID: server + "-late", Kind: route.KindSafe, At: at, Ended: at + 100, Status: 502, Whole: true}, 0)
+	r.Arrivals = append(r.Arrivals, Arrival{ID: server + "-late", Server: server, At: at + 10, Runs: true})
+}
+
+// addHeldOff records a refusal with a hold-off, as many later requests as are allowed, and
+// some more.
+func (r *Record) addHeldOff(server string, more int) {
+	r.Notices = append(r.Notices, Notice{Server: server, Wait: 2_000, From: 74_000, Until: 76_000})
+	for i := range 1 + maxHeldOff + more {
+		id, at := fmt.Sprint(server, "-", i), 75_000+clock.Millis(i)*600
+		r.add(Request{ID: id, Kind: route.KindSafe, At: at, Ended: at + 10, Status: 502, Whole: true}, 0)
+		r.Arrivals = append(r.Arrivals, Arrival{ID: id, Server: server, At: at})
+	}
+}
+
 // addPoison records crashes by a segment, with prompts that come late after the last one, and
 // sound prompts that are served before and after.
 func (r *Record) addPoison(crashes, late int) {
@@ -148,7 +170,9 @@
 		"LimitedServersGetTheirShare": func(r *Record) {
 			r.addLimited("i-app-9", 120_000, 2, 3)
 		},
-		"MemoryIsBounded": func(r *Record) { r.PeakMemory[1] = hostMemoryBytes + 1 },
+		"LeavingIsHeeded":   func(r *Record) { r.addLeaving("i-8", 1) },
+		"HoldOffsAreHeeded": func(r *Record) { r.addHeldOff("i-9", 1) },
+		"MemoryIsBounded":   func(r *Record) { r.PeakMemory[1] = hostMemoryBytes + 1 },
 	}
 	for _, invariant := range invariants() {
 		t.Run(invariant, func(t *testing.T) {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -118,6 +118,9 @@
 		KindServersCrash: crashServers,
 		KindPoison:       startPoison,
 		KindLimit:        limitServer,
+		KindSaysLeaving:  announceLeaving,
+		KindHoldOff:      holdOff,
+		KindOddRecords:   writeOddRecords,
 	}
 }
 
@@ -192,9 +195,11 @@
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
 	random := rand.New(rand.NewPCG(hn.options.Seed, uint64(f.At)))
-	acts := slices.Clone(faultyActs)
+	acts := slices.Concat(faultyActs, strayCalls)
 	if s.Stream {
 		acts = append(acts, faultyStreams...)
+	} else {
+		acts = append(acts, lateCalls...)
 	}
 	s.SetScript(func() (origin.Behavior, bool) {
 		return acts[random.IntN(len(acts))], random.Float64() < faultyShare
@@ -205,10 +210,15 @@
 // replaceServer adds a server and marks another one as leaving. The store drops the
 // leaving server once no request may reach it any more.
 func replaceServer(ctx context.Context, hn *harness, f Fault) func() {
-	s := hn.targetServer(f)
+	hn.departServer(ctx, hn.targetServer(f))
+	return nil
+}
+
+// departServer replaces a server by a new one.
+func (hn *harness) departServer(ctx context.Context, s *server) {
 	if err := hn.addServer(s.service); err != nil {
 		hn.recordError(err)
-		return nil
+		return
 	}
 	hn.mu.Lock()
 	s.leaving = true
@@ -225,7 +235,6 @@
 		hn.mu.Unlock()
 		hn.store.Delete(platform.ServersTable, s.ID)
 	})
-	return nil
 }
 
 // replaceOldestKey revokes the oldest key and adds a new one.
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -17,7 +17,9 @@
 // DomainCut cuts the hosts of the target's failure domain off from all others and from the
 // store. ServersCrash crashes half of the engines at once. Poison sends prompts that crash
 // engines until the end of the run. With Limit a server names the rate of requests that it
-// takes, and later none.
+// takes, and later none. With SaysLeaving a server says in its responses only that it is
+// leaving, with HoldOff that it wants no requests for a while. OddRecords writes records that
+// cannot be read between those of servers and hosts.
 const (
 	KindStop               Kind = "Stop"
 	KindKill               Kind = "Kill"
@@ -44,6 +46,9 @@
 	KindServersCrash       Kind = "ServersCrash"
 	KindPoison             Kind = "Poison"
 	KindLimit              Kind = "Limit"
+	KindSaysLeaving        Kind = "SaysLeaving"
+	KindHoldOff            Kind = "HoldOff"
+	KindOddRecords         Kind = "OddRecords"
 )
 
 // planned reports whether the kind is a planned operation, which must break nothing.
@@ -94,6 +99,9 @@
 	{KindServersCrash, 2},
 	{KindPoison, 2},
 	{KindLimit, 3},
+	{KindSaysLeaving, 2},
+	{KindHoldOff, 3},
+	{KindOddRecords, 2},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -6,6 +6,8 @@
 //   - the store is down or slow, sends no watch events, loses responses or rejects
 //     single hosts;
 //   - servers leave, join, misbehave and crash, together or by prompts with one segment;
+//   - servers say that they are leaving, or that they want no requests for a while;
+//   - another program writes odd records between those of servers and hosts;
 //   - failure domains are cut off from one another and from the store;
 //   - manifests change and keys are revoked.
 //
