--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -398,6 +398,9 @@
 	if half, ok := halfStreams[behavior]; ok {
 		return o.writeHalf(c, id, half)
 	}
+	if write, ok := strayResponses[behavior]; ok {
+		return write(o, c) && o.writeAnswer(c, r, behavior)
+	}
 	switch behavior {
 	case Fail, NotRun:
 		return o.writeError(c, id, behavior)
@@ -412,15 +415,6 @@
 		var one [1]byte
 		_, _ = c.Read(one[:]) // returns when the peer closes
 		return false
-	case Stray:
-		return o.writePlain(c, 200, "another-request", "stray", "") && o.writeAnswer(c, r, behavior)
-	case StrayRefusal:
-		return o.writeError(c, "another-request", NotRun) && o.writeAnswer(c, r, behavior)
-	case UnnamedRefusal:
-		return o.writeError(c, "", NotRun) && o.writeAnswer(c, r, behavior)
-	case Informational:
-		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
-		return err == nil && o.writeAnswer(c, r, behavior)
 	case LateCopy:
 		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
 		return o.writeAnswer(c, r, behavior)
@@ -438,6 +432,17 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// strayResponses write what comes before the right response.
+var strayResponses = map[Behavior]func(o *Origin, c net.Conn) bool{
+	Stray:          func(o *Origin, c net.Conn) bool { return o.writePlain(c, 200, "another-request", "stray", "") },
+	StrayRefusal:   func(o *Origin, c net.Conn) bool { return o.writeError(c, "another-request", NotRun) },
+	UnnamedRefusal: func(o *Origin, c net.Conn) bool { return o.writeError(c, "", NotRun) },
+	Informational: func(_ *Origin, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
+		return err == nil
+	},
+}
+
 // maxCopyDelay is the longest delay of a LateCopy: about the time until the connection is used
 // again under load.
 const maxCopyDelay = 3 * time.Millisecond
