--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -399,7 +399,7 @@
 		return o.writeHalf(c, id, half)
 	}
 	if write, ok := strayResponses[behavior]; ok {
-		return write(o, c) && o.writeAnswer(c, r, behavior)
+		return write(o, c, id) && o.writeAnswer(c, r, behavior)
 	}
 	switch behavior {
 	case Fail, NotRun:
@@ -415,9 +415,6 @@
 		var one [1]byte
 		_, _ = c.Read(one[:]) // returns when the peer closes
 		return false
-	case LateCopy:
-		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
-		return o.writeAnswer(c, r, behavior)
 	case Extra:
 		return o.writeAnswer(c, r, behavior) && o.writePlain(c, 200, "another-request", "extra", "")
 	case Unframed:
@@ -432,12 +429,16 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
-// strayResponses write what comes before the right response.
-var strayResponses = map[Behavior]func(o *Origin, c net.Conn) bool{
-	Stray:          func(o *Origin, c net.Conn) bool { return o.writePlain(c, 200, "another-request", "stray", "") },
-	StrayRefusal:   func(o *Origin, c net.Conn) bool { return o.writeError(c, "another-request", NotRun) },
-	UnnamedRefusal: func(o *Origin, c net.Conn) bool { return o.writeError(c, "", NotRun) },
-	Informational: func(_ *Origin, c net.Conn) bool {
+// strayResponses write what comes before the right response, or begin what comes after it.
+var strayResponses = map[Behavior]func(o *Origin, c net.Conn, id string) bool{
+	Stray:          func(o *Origin, c net.Conn, _ string) bool { return o.writePlain(c, 200, "another-request", "stray", "") },
+	StrayRefusal:   func(o *Origin, c net.Conn, _ string) bool { return o.writeError(c, "another-request", NotRun) },
+	UnnamedRefusal: func(o *Origin, c net.Conn, _ string) bool { return o.writeError(c, "", NotRun) },
+	LateCopy: func(o *Origin, c net.Conn, id string) bool {
+		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
+		return true
+	},
+	Informational: func(_ *Origin, c net.Conn, _ string) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
 		return err == nil
 	},
