Copies of several responses may come before the right one

TestLateCopiesReachNobodyAndCostNoRequest failed about once in 30 runs: a fast connection had more than four late copies on their way, and the attempt was given up as stray. The bound is 16 now; time and size bound them as before.

--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -288,6 +288,7 @@
 				switch {
 				case got.status != 200:
 					failed.Add(1)
+					c.Logf("%s: %d %s", id, got.status, got.body)
 				case got.headers.Get("Request-Id") != id || !isOriginResponse(got.body):
 					wrong.Add(1)
 				}
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -113,8 +113,9 @@
 	request.SetBodyRaw(t.request.Body)
 }
 
-// maxPassedOver bounds the responses to other requests before the right one.
-const maxPassedOver = 4
+// maxPassedOver bounds the responses to other requests before the right one. Copies of several
+// earlier responses can arrive together.
+const maxPassedOver = 16
 
 // receive reads the header of the response to the request.
 func (t *roundTrip) receive() (Response, error) {
