Slow streams are not cut before their time limit

A pause of more than 12 s within a response ended it, whatever the route's time limit; Argeș routes have 15 s. TestSlowStreamIsNotCutBeforeItsTimeLimit failed before, with shorter times. Each read now has the rest of the request's time, except for streams that can be resumed elsewhere. TestStalledStreamThatSendsBytesEndsAtItsTimeLimit shows that bytes that complete no event do not prolong an answer; it passed before too.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -80,6 +80,10 @@
 	// that does not end. Trickle sends a stream without any event, a byte at a time.
 	EndlessEvent Behavior = "EndlessEvent"
 	Trickle      Behavior = "Trickle"
+	// TrickleLate sends the first half of the events and then a byte now and then, without
+	// an end. Slow pauses in the middle of a stream for SlowPause.
+	TrickleLate Behavior = "TrickleLate"
+	Slow        Behavior = "Slow"
 	// HalfEvent and HalfEventChunks end a stream inside its last event as if it were
 	// complete: with the connection, or with a last chunk. NoEvent ends it with the
 	// connection before its first event.
@@ -97,6 +101,9 @@
 // Events is the number of events in a complete stream.
 const Events = 8
 
+// SlowPause is the pause of a slow stream.
+const SlowPause = 600 * time.Millisecond
+
 // eventInterval is the time between two events of a stream.
 const eventInterval = 5 * time.Millisecond
 
@@ -542,19 +549,10 @@
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n",
 		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, o.statementFields())
 	for n := first; n <= Events && err == nil; n++ {
-		event := Event(n)
-		if behavior == Tear && n == Events/2 {
-			_, _ = fmt.Fprint(c, chunk(event[:len(event)/2]))
-			time.Sleep(eventInterval)
-			return reset(c)
-		}
-		for behavior == EndlessEvent && n == Events/2 && err == nil {
-			_, err = fmt.Fprint(c, chunk("data: "+strings.Repeat("x", endlessBytes)))
-		}
-		if err != nil {
+		if n == Events/2 && !o.misbehaveInStream(c, behavior) {
 			return false
 		}
-		_, err = fmt.Fprint(c, chunk(event))
+		_, err = fmt.Fprint(c, chunk(Event(n)))
 		time.Sleep(eventInterval)
 	}
 	if err == nil {
@@ -563,6 +561,33 @@
 	return err == nil
 }
 
+// misbehaveInStream does what a behavior does before event Events/2 of a stream. It reports
+// whether the stream goes on.
+func (o *Origin) misbehaveInStream(c net.Conn, behavior Behavior) bool {
+	event := Event(Events / 2)
+	var err error
+	switch behavior {
+	case Tear:
+		_, _ = fmt.Fprint(c, chunk(event[:len(event)/2]))
+		time.Sleep(eventInterval)
+		return reset(c)
+	case EndlessEvent:
+		for err == nil {
+			_, err = fmt.Fprint(c, chunk("data: "+strings.Repeat("x", endlessBytes)))
+		}
+		return false
+	case TrickleLate:
+		for err == nil {
+			_, err = fmt.Fprint(c, chunk(":"))
+			time.Sleep(eventInterval)
+		}
+		return false
+	case Slow:
+		time.Sleep(SlowPause)
+	}
+	return true
+}
+
 // halfStream is a stream that ends inside an event, before any, or with its connection.
 type halfStream struct {
 	text      string
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -83,6 +83,16 @@
 	minHeaderTimeout = 500 * clock.Millis(1)
 )
 
+// bodyTimeout returns the timeout for each read after the first event of the response, in
+// milliseconds, 0 for the client's own. A server that has fallen silent is no reason to end
+// an answer that cannot be continued elsewhere before its time is over.
+func (j *job) bodyTimeout() clock.Millis {
+	if j.route.Resumable {
+		return 0
+	}
+	return max(j.deadline-j.proxy.Clock.Now(), 1)
+}
+
 // exchange sends the request to the chosen server and classifies the response.
 func (j *job) exchange(ctx context.Context, choice place.Choice) result {
 	r := j.request
@@ -100,6 +110,7 @@
 		ID:               j.id,
 		HeaderTimeout:    wait,
 		BodyBeginTimeout: wait,
+		BodyTimeout:      j.bodyTimeout(),
 	})
 	if sent != wire.SentNothing {
 		j.sends++
--- a/internal/serve/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/origin"
 )
 
@@ -82,3 +84,23 @@
 		})
 	}
 }
+
+func TestSlowStreamIsNotCutBeforeItsTimeLimit(t *testing.T) {
+	c, r := start(t, 1, true)
+	r.forwarder.Client.ProgressTimeout = clock.FromDuration(origin.SlowPause) / 3
+	r.servers[0].SetDefault(origin.Slow)
+	got := r.send("POST", "/once/x", "r1", "Content-Length: 0\r\n")
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.whole, qt.IsTrue)
+	c.Assert(got.body, qt.Equals, origin.FullStream())
+}
+
+func TestStalledStreamThatSendsBytesEndsAtItsTimeLimit(t *testing.T) {
+	c, r := start(t, 1, true)
+	r.servers[0].SetDefault(origin.TrickleLate)
+	began := time.Now()
+	got := r.send("POST", "/once/x", "r1", "Content-Length: 0\r\n")
+	c.Assert(got.whole, qt.IsFalse)
+	took := time.Since(began)
+	c.Assert(took > 1_800*time.Millisecond && took < 2_500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+}
--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -22,7 +22,9 @@
 	// bodyBeginTimeout replaces a shorter progressTimeout for reads until the response
 	// body has begun. It is 0 afterwards.
 	bodyBeginTimeout time.Duration
-	accepted         int
+	// bodyTimeout replaces a shorter progressTimeout for all reads of the response body.
+	bodyTimeout time.Duration
+	accepted    int
 	// readable is the number of bytes that may still be read for this response.
 	readable int
 	used     bool
@@ -46,6 +48,7 @@
 	c.headerTimeout = r.HeaderTimeout.Duration()
 	c.headerDeadline = time.Time{}
 	c.bodyBeginTimeout = r.BodyBeginTimeout.Duration()
+	c.bodyTimeout = r.BodyTimeout.Duration()
 }
 
 // headerEnded ends the timeout of the header.
@@ -70,7 +73,7 @@
 // while the header arrives.
 func (c *conn) readDeadline(now time.Time) time.Time {
 	if c.headerTimeout == 0 {
-		return now.Add(max(c.progressTimeout, c.bodyBeginTimeout))
+		return now.Add(max(c.progressTimeout, c.bodyBeginTimeout, c.bodyTimeout))
 	}
 	if c.headerDeadline.IsZero() {
 		c.headerDeadline = now.Add(c.headerTimeout)
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -114,6 +114,9 @@
 	// Response.BodyBegun is called, in milliseconds, if it is longer than
 	// ProgressTimeout.
 	BodyBeginTimeout clock.Millis
+	// BodyTimeout bounds each later read of it, in milliseconds, if it is longer than
+	// ProgressTimeout.
+	BodyTimeout clock.Millis
 }
 
 // Response is a response whose header was read and whose body is still to be read.
