--- a/internal/policy/notice/notice.go
+++ b/internal/policy/notice/notice.go
@@ -11,7 +11,7 @@
 //
 //	t := notice.NewTable()
 //	if t.AddLeaving(now, notice.EntryOf(server)) { ... }
-//	t.AddHoldOff(now, server, wait)
+//	t.AddHoldOff(now, server, wait, rand.Float64())
 //	list := t.Mark(servers)             // leaving servers have Leaving set
 //	left := t.HeldOff(now, server)      // 0 if it may get requests
 //	t.Retain(now, servers)              // on each change of the list
