The soak expects no calls at a limited server that is leaving

The check leaves out servers that leave by their own word or record before its end, and is as before for all others. The valid record has such a server; without the change it is a violation.

--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -39,6 +39,8 @@
 	r.addPoison(crashLimit-1, allowedAfterLimit)
 	r.addLimited("i-app-7", 80_000, 2, 17)
 	r.addUnconfirmed("in-time", 61_000+boundRestore)
+	r.addLimited("i-app-5", 90_000, 2, 3)
+	r.Notices = append(r.Notices, Notice{Server: "i-app-5", From: 89_000, Until: 95_000})
 	r.addLeaving("i-6", 0)
 	r.addHeldOff("i-7", 0)
 	r.add(Request{ID: "crossed", Host: 0, At: 30_500, Ended: 30_600}, 0)
--- a/internal/tools/soak/limits.go
+++ b/internal/tools/soak/limits.go
@@ -113,7 +113,7 @@
 func limitedServersGetTheirShare(r Record) []string {
 	var found []string
 	for _, l := range r.Limits {
-		if !strings.HasPrefix(l.Server, "i-"+serviceApp+"-") {
+		if !strings.HasPrefix(l.Server, "i-"+serviceApp+"-") || r.leaves(l.Server, l.Until+boundContact+limitWindow) {
 			continue
 		}
 		if !r.anyFault(l.From-boundContact, l.Until) {
@@ -132,6 +132,21 @@
 	return found
 }
 
+// leaves reports whether a server said or its record said before a time that it is leaving.
+func (r Record) leaves(server string, before clock.Millis) bool {
+	for _, n := range r.Notices {
+		if n.Server == server && n.Wait == 0 && n.From < before {
+			return true
+		}
+	}
+	for _, d := range r.Departures {
+		if d.Server == server && d.At < before {
+			return true
+		}
+	}
+	return false
+}
+
 // limitedIn reports whether a server named a rate in a time span.
 func (r Record) limitedIn(server string, from, until clock.Millis) bool {
 	for _, l := range r.Limits {
