--- a/review/standins/rig/client.go
+++ b/review/standins/rig/client.go
@@ -71,7 +71,14 @@
 	if _, err := io.WriteString(c.conn, call.Text("shop.example")); err != nil {
 		return Answer{Err: err}
 	}
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+	return readAnswer(c.reader, call.Method)
+}
+
+// ReadAnswer reads the answer to a POST request from a channel.
+func ReadAnswer(c net.Conn) Answer { return readAnswer(bufio.NewReader(c), http.MethodPost) }
+
+func readAnswer(r *bufio.Reader, method string) Answer {
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
 		return Answer{Err: err}
 	}
--- a/review/standins/rig/server.go
+++ b/review/standins/rig/server.go
@@ -31,7 +31,9 @@
 	Address string
 	Born    int64
 	Record  *Record
-	Handle  func(r *Request) bool
+	// DropBodies discards the bodies of requests after reading them.
+	DropBodies bool
+	Handle     func(r *Request) bool
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -93,7 +95,12 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(q.Body)
+		var body []byte
+		if s.DropBodies {
+			_, err = io.Copy(io.Discard, q.Body)
+		} else {
+			body, err = io.ReadAll(q.Body)
+		}
 		if err != nil {
 			return
 		}
