--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=review/4
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml | head -n 1)
-[ -x "${command%% *}" ] && [ -x review/bin/tenants ] || exit 2
-TROUBLE=${TROUBLE:-1} exec review/bin/tenants "$folder/record.txt" "$command"
+[ -x "${command%% *}" ] && [ -x review/bin/frozen ] || exit 2
+TROUBLE=${TROUBLE:-1} exec review/bin/frozen "$folder/record.txt" "$command"
