--- a/review/standins/rig/script.go
+++ b/review/standins/rig/script.go
@@ -54,10 +54,11 @@
 		code = ExitNotRun
 	}
 	w.Record.Logf("exit with %d, trouble=%v, %d breaches", code, Trouble(), len(result.breaches))
+	// Printing can end the program, if its output is a closed pipe.
+	w.Stop()
 	fmt.Printf("exit %d, trouble=%v, %d breaches\n", code, Trouble(), len(result.breaches))
 	for _, b := range result.breaches[:min(len(result.breaches), 5)] {
 		fmt.Println("  " + b)
 	}
-	w.Stop()
 	os.Exit(code)
 }
