The last event of a stream with a length is forwarded

Callers: streams from servers that send a Content-Length lost their last event and then their connection (LOST), or ended with 502 if they arrived in one piece.

Cause: the last read of a body with a length returns bytes together with io.EOF. forwardStream handled the end before it looked for complete events among these bytes, so they counted as a part of an event and the stream as broken. Ruled out: an early close by the server (its record has all events sent) and the limit of size.

Change: events first, then the end.

TestLastEventOfStreamWithLengthIsForwarded failed before in all of its six cases. TestStreamCutBeforeItsLengthIsNotForwardedAsComplete passed before and after.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -94,6 +94,12 @@
 	// events, or the first half of them.
 	UnframedStream Behavior = "UnframedStream"
 	CutStream      Behavior = "CutStream"
+	// LengthStream sends a stream with a Content-Length, an event at a time. LengthStreamAtOnce
+	// sends it with its header in one write. CutLengthStream ends the connection after half of
+	// the events that the length announces.
+	LengthStream       Behavior = "LengthStream"
+	LengthStreamAtOnce Behavior = "LengthStreamAtOnce"
+	CutLengthStream    Behavior = "CutLengthStream"
 	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
 	crashAtSegment Behavior = "CrashAtSegment"
 )
@@ -402,6 +408,9 @@
 	if e, ok := endlessResponses[behavior]; ok {
 		return o.writeEndless(c, id, e)
 	}
+	if parts, ok := lengthStreams[behavior]; ok {
+		return o.writeLengthStream(c, id, parts)
+	}
 	if half, ok := halfStreams[behavior]; ok {
 		return o.writeHalf(c, id, half)
 	}
@@ -613,6 +622,32 @@
 	return err == nil && half.keepsOpen
 }
 
+// lengthStreams are the parts in which a stream with a Content-Length is sent, the first with
+// the header.
+var lengthStreams = map[Behavior][]string{
+	LengthStream:       strings.SplitAfter(FullStream(), "\n\n"),
+	LengthStreamAtOnce: {FullStream()},
+	CutLengthStream:    {FullStream()[:strings.Index(FullStream(), Event(Events/2))]},
+}
+
+// writeLengthStream reports whether the connection stays open.
+func (o *Origin) writeLengthStream(c net.Conn, id string, parts []string) bool {
+	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n",
+		len(FullStream()), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID)
+	sent := 0
+	for i, part := range parts {
+		sent += len(part)
+		if i == 0 {
+			part = header + part
+		}
+		if _, err := io.WriteString(c, part); err != nil {
+			return false
+		}
+		time.Sleep(eventInterval)
+	}
+	return sent == len(FullStream())
+}
+
 // crashDelay is the time from the begin of an answer to the crash.
 const crashDelay = 20 * time.Millisecond
 
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -93,9 +93,7 @@
 	for {
 		n, err := response.Body.Read(c.spare())
 		c.grow(n)
-		if errors.Is(err, io.EOF) {
-			return j.endStream(response, c)
-		}
+		// The last read of a body with a length returns bytes together with io.EOF.
 		if end := c.completeBytes(); end > 0 {
 			j.forwardEvents(response, c.buffer[:end])
 			c.drop(end)
@@ -105,6 +103,8 @@
 			begun = true
 		}
 		switch {
+		case errors.Is(err, io.EOF):
+			return j.endStream(response, c)
 		case err != nil:
 			return failedResult(err, wire.SentAll)
 		case j.writer.Broken():
--- a/internal/serve/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"bufio"
+	"io"
 	"testing"
 	"time"
 
@@ -104,3 +106,39 @@
 	took := time.Since(began)
 	c.Assert(took > 1_800*time.Millisecond && took < 2_500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
 }
+
+// The last read of a body with a length returns its last bytes together with its end.
+func TestLastEventOfStreamWithLengthIsForwarded(t *testing.T) {
+	for _, behavior := range []origin.Behavior{origin.LengthStream, origin.LengthStreamAtOnce} {
+		for _, path := range []string{"/once/", "/resumed/", "/chat/"} {
+			t.Run(string(behavior)+path, func(t *testing.T) {
+				c, r := start(t, 2, true)
+				for _, s := range r.servers {
+					s.SetDefault(behavior)
+				}
+				conn := r.dial()
+				reader := bufio.NewReader(conn)
+				for _, id := range []string{"s1", "s2", "s3"} {
+					_, err := io.WriteString(conn, request("POST", path, id, "Content-Length: 0\r\n"))
+					c.Assert(err, qt.IsNil)
+					got := readResponse(c, reader, "POST")
+					c.Assert(got.status, qt.Equals, 200)
+					c.Check(got.whole, qt.IsTrue)
+					c.Check(got.body, qt.Equals, origin.FullStream())
+					c.Check(r.runs(id), qt.Equals, 1)
+				}
+			})
+		}
+	}
+}
+
+func TestStreamCutBeforeItsLengthIsNotForwardedAsComplete(t *testing.T) {
+	c, r := start(t, 2, true)
+	setActs(r, []origin.Behavior{origin.CutLengthStream, origin.LengthStream})
+	got := r.send("POST", "/once/", "s1", "Content-Length: 0\r\n")
+	c.Check(got.whole, qt.IsFalse)
+	setActs(r, []origin.Behavior{origin.CutLengthStream, origin.Answer})
+	got = r.send("POST", "/resumed/", "s2", "Content-Length: 0\r\n")
+	c.Check(got.whole, qt.IsTrue)
+	c.Check(got.body, qt.Equals, origin.FullStream())
+}
