Hosts adopt no server without a record that they know to have left

Callers: hosts that were never disturbed sent requests to a server 5 s after the store had accepted that it drains (DRAIN).

Cause: the host that reads the store for its domain was suspended. Its call for changes timed out, which it takes for an outage of the store, so it kept servers without a record for the recovery grace. Its new list has the newest position, and the others replaced theirs by it as a whole.

Evidence: two new log lines. Ruled out: an older list that is taken all the same (the position is that of a new read), and a removal that the others lose (they had logged the shorter list).

Change: a server without a record is adopted only if this host does not know that it left or is leaving, or for a newer incarnation. Servers with a record are adopted as before.

TestServerThatLeftIsNotAdoptedFromSuspendedReader holds the reader's replies back, so the order of events does not depend on time; it failed before in both cases, as did TestAdoptedListBringsNoServerBackThatHasLeft.

--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -145,7 +145,8 @@
 func (f *Fleet) Missing() map[string]clock.Millis { return maps.Clone(f.missing) }
 
 // Adopt replaces the state by that of another Fleet: its servers, those among them
-// without a record, and whether it cannot reach the store.
+// without a record, and whether it cannot reach the store. The other Fleet may have missed
+// that a server without a record has left; what is known here of its leaving stays.
 func (f *Fleet) Adopt(
 	now clock.Millis, list []Server, missing map[string]clock.Millis, storeDown bool,
 ) {
@@ -157,9 +158,14 @@
 	before := f.servers
 	f.servers = make(map[string]Server, len(list))
 	for _, s := range list {
-		if old, ok := before[s.ID]; ok && now < f.heldUntil && old.outdates(s) {
+		old, listed := before[s.ID]
+		_, unrecorded := missing[s.ID]
+		if listed && (unrecorded || now < f.heldUntil) && old.outdates(s) {
 			s = old
 		}
+		if unrecorded && (s.Leaving || (!listed && f.departedSince(s))) {
+			continue
+		}
 		f.servers[s.ID] = s
 	}
 	for id, s := range before {
@@ -196,14 +202,20 @@
 	}
 }
 
+// departedSince reports whether a record is not newer than the last one of a server that was
+// dropped.
+func (f *Fleet) departedSince(s Server) bool {
+	d, ok := f.departed[s.ID]
+	return ok && !s.outdates(d.last)
+}
+
 // outdated reports whether a record is not newer than the last one of a server that has
 // left, or older than that of a server in the list.
 func (f *Fleet) outdated(s Server) bool {
 	if old, ok := f.servers[s.ID]; ok {
 		return old.outdates(s)
 	}
-	d, ok := f.departed[s.ID]
-	return ok && !s.outdates(d.last)
+	return f.departedSince(s)
 }
 
 // Remove handles the removal of a server's record: it drops the server, or marks it
--- a/internal/policy/fleet/fleet_test.go
+++ b/internal/policy/fleet/fleet_test.go
@@ -165,3 +165,27 @@
 	f.DropExpired(6_000 + left)
 	c.Assert(ids(f), qt.DeepEquals, []string{"lives"})
 }
+
+// The other host missed that these servers left, so that they have no record but are kept for
+// the recovery grace.
+func TestAdoptedListBringsNoServerBackThatHasLeft(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(recoveryGrace, missingGrace, restoreGrace)
+	f.StoreSucceeded(0)
+	before := []fleet.Server{{ID: "gone", Born: 5}, {ID: "leaving", Born: 5, Sequence: 1}, {ID: "restarted", Born: 5}, {ID: "stays", Born: 5}}
+	f.Replace(0, before)
+	f.Put(100, fleet.Server{ID: "leaving", Born: 5, Sequence: 2, Leaving: true})
+	f.Remove(200, "gone")
+	f.Remove(200, "restarted")
+
+	after := []fleet.Server{before[0], before[1], {ID: "restarted", Born: 6}, before[3]}
+	missing := map[string]clock.Millis{"gone": 7_000, "leaving": 7_000, "restarted": 7_000, "stays": 7_000}
+	f.Adopt(5_000, after, missing, false)
+	c.Assert(ids(f), qt.DeepEquals, []string{"restarted", "stays"})
+	f.Adopt(5_100, after, missing, false)
+	c.Assert(ids(f), qt.DeepEquals, []string{"restarted", "stays"})
+
+	// A record in the store says that the server is there.
+	f.Adopt(5_200, after, nil, false)
+	c.Assert(ids(f), qt.DeepEquals, []string{"gone", "leaving", "restarted", "stays"})
+}
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -517,6 +517,9 @@
 	now := w.Clock.Boot()
 	w.fleet.Adopt(now, v.Servers, v.Missing, v.StoreDown)
 	w.storeDown = v.StoreDown
+	if left := len(v.Servers) - len(w.fleet.List()); left > 0 {
+		w.Log.Info("Servers without a record were not adopted from another host, as they have left.", "servers", left)
+	}
 	w.publishServers(now, v.ServersRevision)
 }
 
@@ -613,6 +616,9 @@
 	if same && v.StoreDown == w.storeDown && v.ServersRevision == at && maps.Equal(v.Missing, missing) {
 		return
 	}
+	if len(missing) != len(v.Missing) {
+		w.Log.Info("The number of servers that are kept without a record changed.", "servers", len(missing), "storeDown", w.storeDown)
+	}
 	v.Servers, v.ServersKnown, v.ServersRevision, v.Missing, v.StoreDown =
 		list, known, at, missing, w.storeDown
 	if same {
--- a/internal/share/watch/watch_test.go
+++ b/internal/share/watch/watch_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,7 +42,8 @@
 		if len(r.Value) == 0 {
 			return fleet.Server{}, errors.New("an empty record")
 		}
-		return fleet.Server{ID: r.Key, Address: string(r.Value)}, nil
+		address, leaving := strings.CutSuffix(string(r.Value), " leaving")
+		return fleet.Server{ID: r.Key, Address: address, Leaving: leaving}, nil
 	},
 }
 
@@ -233,3 +236,95 @@
 	run(c, second)
 	await(second, "acef")
 }
+
+// stalling returns the store with calls that get no reply until resume is called, as on a host
+// that is suspended. The calls of that time fail.
+func stalling(s rows.Store) (stalled rows.Store, stall, resume func()) {
+	var mu sync.Mutex
+	var held chan struct{}
+	stalled = s
+	// await reports whether the call was made or answered in the stalled time.
+	await := func() bool {
+		mu.Lock()
+		wait := held
+		mu.Unlock()
+		if wait == nil {
+			return false
+		}
+		<-wait
+		return true
+	}
+	errSuspended := errors.New("no reply in time")
+	stalled.Read = func(ctx context.Context, r rows.Range) (rows.Reply, error) {
+		if await() {
+			return rows.Reply{}, errSuspended
+		}
+		return s.Read(ctx, r)
+	}
+	stalled.Watch = func(ctx context.Context, table string, after int64, wait clock.Millis) (rows.Reply, error) {
+		reply, err := s.Watch(ctx, table, after, wait)
+		if await() {
+			return rows.Reply{}, errSuspended
+		}
+		return reply, err
+	}
+	stall = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		held = make(chan struct{})
+	}
+	resume = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		close(held)
+		held = nil
+	}
+	return stalled, stall, resume
+}
+
+// A host that reads the store for others is suspended while a server leaves. Its failed calls
+// look like an outage of the store, so it keeps the server for a while without a record.
+func TestServerThatLeftIsNotAdoptedFromSuspendedReader(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		announced bool
+	}{{"a server that announced it", true}, {"a server whose record was removed", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			store := memdb.New(clock.System())
+			store.Put("op", "manifest", []byte("1"))
+			store.Put("servers", "a", []byte("10.0.0.1:1"))
+			store.Put("servers", "b", []byte("10.0.0.2:1"))
+			reader, other := newWatcher(store), newWatcher(store)
+			var stall, resume func()
+			reader.Store, stall, resume = stalling(reader.Store)
+			run(c, reader)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); other.Run(ctx) }()
+			usable := func(w *watch.Watcher) int {
+				return len(slices.DeleteFunc(slices.Clone(w.View().Servers), func(s fleet.Server) bool { return s.Leaving }))
+			}
+			eventually(func() bool { return usable(reader) == 2 && usable(other) == 2 })
+
+			stall()
+			if test.announced {
+				store.Put("servers", "b", []byte("10.0.0.2:1 leaving"))
+				eventually(func() bool { return usable(other) == 1 })
+			}
+			store.Delete("servers", "b")
+			eventually(func() bool { return len(other.View().Servers) == 1 })
+			cancel()
+			<-done
+			resume()
+
+			eventually(func() bool { return len(reader.View().Missing) == 1 })
+			other.Adopt(reader.View(), 1, clock.System().Boot())
+			c.Assert(usable(other), qt.Equals, 1)
+			store.Put("servers", "b", []byte("10.0.0.2:1"))
+			eventually(func() bool { return len(reader.View().Missing) == 0 })
+			other.Adopt(reader.View(), 1, clock.System().Boot())
+			c.Assert(usable(other), qt.Equals, 2)
+		})
+	}
+}
