Long events of streams share the memory for responses

Report of another operator: a server that sends without end made the machine that called it run out of memory. Here each stream could hold an unfinished event of 256 KiB, in a buffer of up to 512 KiB, with no bound on all of them together: 200 such streams are 100 MB on hosts of 184 MB.

Change: what a stream's buffer needs beyond its first 8 KiB is reserved from the memory that responses read whole already share. A stream that finds none left has a broken server (TooLong). Plain calls, heads, interim responses and framing were looked at: bounded.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -81,7 +81,7 @@
 	{Manifest, "Gauge", "version", "", "version of the manifest in force"},
 	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
-	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded"},
+	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded, and of long events"},
 	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided; Limited ones, which have named a rate limit, are among the usable, and HeldOff ones, which want no requests for a while, among all"},
 	{Hosts, "Gauge", "hosts", "", "hosts that share the budget of repeats"},
 	{Goroutines, "Gauge", "goroutines", "", "goroutines of the process; a steady rise is a leak"},
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -84,6 +84,9 @@
 	// an end. Slow pauses in the middle of a stream for SlowPause.
 	TrickleLate Behavior = "TrickleLate"
 	Slow        Behavior = "Slow"
+	// LongEvent sends LongEventBytes of an event that does not end, and then nothing until the
+	// caller closes the connection.
+	LongEvent Behavior = "LongEvent"
 	// HalfEvent and HalfEventChunks end a stream inside its last event as if it were
 	// complete: with the connection, or with a last chunk. NoEvent ends it with the
 	// connection before its first event.
@@ -107,6 +110,9 @@
 // Events is the number of events in a complete stream.
 const Events = 8
 
+// LongEventBytes is the length of what LongEvent sends.
+const LongEventBytes = 200 << 10
+
 // SlowPause is the pause of a slow stream.
 const SlowPause = 600 * time.Millisecond
 
@@ -431,9 +437,11 @@
 	case Reset:
 		return reset(c)
 	case Silent:
-		var one [1]byte
-		_, _ = c.Read(one[:]) // returns when the peer closes
-		return false
+		return awaitClose(c)
+	case LongEvent:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s%s",
+			o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, chunkedBody, chunk("data: "+strings.Repeat("x", LongEventBytes)))
+		return awaitClose(c)
 	case Unframed:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n\r\nunframed from %s", o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, o.ID)
 		return false
@@ -446,6 +454,14 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// awaitClose waits until the caller closes the connection. It returns false, so that the
+// connection is closed.
+func awaitClose(c net.Conn) bool {
+	var one [1]byte
+	_, _ = c.Read(one[:]) // returns when the peer closes
+	return false
+}
+
 // strayResponses write what comes before the right response, extraResponses what comes after
 // it.
 var strayResponses = map[Behavior]func(o *Origin, c net.Conn) bool{
--- a/internal/serve/proxy/endless_test.go
+++ b/internal/serve/proxy/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
 	"siskinsaddle/internal/policy/place"
+	"siskinsaddle/internal/serve/proxy"
 )
 
 // A server in trouble sends bytes until its caller closes the connection. What the
@@ -75,3 +78,40 @@
 	r.forwarder.UpdateGauges()
 	c.Assert(r.count.Gauge(meter.Servers, meter.Label("state", "Avoided")), qt.Equals, int64(2))
 }
+
+// Servers in trouble send long events that do not end to many requests at a time. All streams
+// share the memory for responses, and a sound one is served beside them.
+func TestUnfinishedEventsOfManyStreamsShareTheMemoryForResponses(t *testing.T) {
+	const (
+		maxBuffered = 2 << 20
+		streams     = 40
+	)
+	c, r := start(t, 2, true)
+	r.forwarder.Apply(proxy.Limits{RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10_000, MaxBuffered: maxBuffered})
+	setActs(r, slices.Repeat([]origin.Behavior{origin.LongEvent}, streams))
+	var all sync.WaitGroup
+	for i := range streams {
+		all.Go(func() {
+			got := r.send("POST", "/once/", fmt.Sprint("long", i), "Content-Length: 0\r\n")
+			c.Check(got.status >= 500, qt.IsTrue, qt.Commentf("status %d", got.status))
+		})
+	}
+	sent := func() int {
+		n := 0
+		for i := range streams {
+			n += r.runs(fmt.Sprint("long", i))
+		}
+		return n
+	}
+	for sent() < streams {
+		time.Sleep(time.Millisecond)
+	}
+	for began := time.Now(); r.connections() > maxBuffered/origin.LongEventBytes; time.Sleep(time.Millisecond) {
+		c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%d unfinished events are held", r.connections()))
+	}
+	c.Check(r.buffered() <= maxBuffered, qt.IsTrue)
+	got := r.send("POST", "/resumed/", "sound", "Content-Length: 0\r\n")
+	c.Check(got.body, qt.Equals, origin.FullStream())
+	all.Wait()
+	c.Check(r.buffered(), qt.Equals, int64(0))
+}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -165,7 +165,7 @@
 	RepeatSlack  float64
 	RepeatWindow clock.Millis
 	// MaxBuffered is the limit for all responses that are read whole before they are
-	// forwarded, in bytes; 0 means 64 MiB.
+	// forwarded, and for long events of streams, in bytes; 0 means 64 MiB.
 	MaxBuffered int64
 }
 
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -23,18 +23,31 @@
 // 184 MB and a link of 10 Mbit/s.
 const maxEventBytes = 256 << 10
 
-// eventBuffer collects the bytes of a stream and splits off complete events.
+// eventBuffer collects the bytes of a stream and splits off complete events. What it needs
+// beyond initialBufferBytes is reserved from the memory that all responses share.
 type eventBuffer struct {
 	buffer []byte
 }
 
 // spare returns the free space of the buffer, grown to at least half of
-// initialBufferBytes.
-func (c *eventBuffer) spare() []byte {
-	if cap(c.buffer)-len(c.buffer) < initialBufferBytes/2 {
-		c.buffer = append(make([]byte, 0, 2*cap(c.buffer)), c.buffer...)
+// initialBufferBytes. It returns false if no memory is left for that.
+func (c *eventBuffer) spare(memory *buffers) ([]byte, bool) {
+	if size := cap(c.buffer); size-len(c.buffer) < initialBufferBytes/2 {
+		if !memory.grow(size, 2*size) {
+			return nil, false
+		}
+		c.buffer = append(make([]byte, 0, 2*size), c.buffer...)
 	}
-	return c.buffer[len(c.buffer):cap(c.buffer)]
+	return c.buffer[len(c.buffer):cap(c.buffer)], true
+}
+
+// release returns the reserved memory and the buffer, unless it has grown.
+func (c *eventBuffer) release(memory *buffers) {
+	if reserved := cap(c.buffer) - initialBufferBytes; reserved > 0 {
+		memory.release(reserved)
+		return
+	}
+	eventBuffers.Put(c)
 }
 
 // grow adds n bytes that were read into the spare space.
@@ -88,10 +101,14 @@
 func (j *job) forwardStream(response wire.Response, firstEventBy clock.Millis) result {
 	c := eventBuffers.Get().(*eventBuffer)
 	c.buffer = c.buffer[:0]
-	defer eventBuffers.Put(c)
+	defer c.release(&j.proxy.buffers)
 	begun := false
 	for {
-		n, err := response.Body.Read(c.spare())
+		spare, ok := c.spare(&j.proxy.buffers)
+		if !ok {
+			return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "TooLong"}
+		}
+		n, err := response.Body.Read(spare)
 		c.grow(n)
 		// The last read of a body with a length returns bytes together with io.EOF.
 		if end := c.completeBytes(); end > 0 {
