--- a/internal/share/broker/broker.go
+++ b/internal/share/broker/broker.go
@@ -53,6 +53,9 @@
 	maxBackoff = 4_000 * clock.Millis(1)
 	// minCoresShare is the share of the largest host's cores that a keeper must have.
 	minCoresShare = 0.7
+	// maxSegmentQueries is the maximum number of concurrent queries for cached segments. An
+	// answer can take some megabytes, and the smallest hosts have 184 MB.
+	maxSegmentQueries = 8
 )
 
 // Broker sends the grant requests of this host, and decides those of the pools that it
@@ -84,6 +87,8 @@
 	reported map[string]bool
 	running  map[string]*running
 	segments segmentCache
+	// segmentQueries holds a value for each query for cached segments in progress.
+	segmentQueries chan struct{}
 }
 
 // backoff is the state of a keeper that is skipped after a failed request.
@@ -121,6 +126,7 @@
 	b.reported = map[string]bool{}
 	b.running = map[string]*running{}
 	b.segments = newSegmentCache()
+	b.segmentQueries = make(chan struct{}, maxSegmentQueries)
 	if b.Link == nil {
 		return
 	}
--- a/internal/share/broker/broker_test.go
+++ b/internal/share/broker/broker_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -286,3 +287,24 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Engines in trouble send the longest lists that are read, all at a time.
+func TestCachedSegmentsAreQueriedFromFewServersAtATime(t *testing.T) {
+	const (
+		servers    = 60
+		maxQueries = 8
+	)
+	c := qt.New(t)
+	g := newGroup(c, 1, servers)
+	var running, most, done atomic.Int64
+	g.hosts["h0"].broker.CachedSegments = func(context.Context, fleet.Server) ([]place.Segment, error) {
+		most.Store(max(most.Load(), running.Add(1)))
+		time.Sleep(5 * time.Millisecond)
+		running.Add(-1)
+		done.Add(1)
+		return nil, nil
+	}
+	g.requestGrant("h0", newRequest("first", "other"))
+	waitFor(c, func() bool { return done.Load() == servers })
+	c.Assert(most.Load() <= maxQueries, qt.IsTrue, qt.Commentf("%d queries at a time", most.Load()))
+}
--- a/internal/share/broker/keeper.go
+++ b/internal/share/broker/keeper.go
@@ -62,7 +62,9 @@
 	// servers that were queried, by ID and address.
 	querySegments func(ctx context.Context, s fleet.Server) ([]place.Segment, error)
 	queried       map[string]bool
-	guard         *guard.Guard
+	// queries is Broker.segmentQueries.
+	queries chan struct{}
+	guard   *guard.Guard
 	// others are the other hosts that decide for this pool, by when they last said so;
 	// announce tells hosts that this one does. grantedAt is when it last granted a server with a
 	// rate limit, and toldAt when it last told the others.
@@ -85,6 +87,7 @@
 		core:          grant.New(b.Settings),
 		waiting:       map[string]chan grant.Decision{},
 		querySegments: b.CachedSegments,
+		queries:       b.segmentQueries,
 		guard:         b.Guard,
 		others:        map[string]clock.Millis{},
 		announce:      func() { b.announce(p) },
@@ -110,7 +113,9 @@
 func queryKey(s fleet.Server) string { return s.ID + "@" + s.Address }
 
 func (k *poolKeeper) loadCached(s fleet.Server) {
+	k.queries <- struct{}{}
 	segments, err := k.querySegments(context.Background(), s)
+	<-k.queries
 	if err != nil {
 		k.log.Warn("Querying a server's cached segments failed.", "server", s.ID, "err", err)
 		return
