Requests that outlast a stop are answered

Here late requests are refused, but a request that was taken early and takes longer than the rest of the grace had its connection closed when the process ended, with one host and with several.

Change: when the time to stop is over, open attempts end. Callers without a part of a response get a 502 HostStopped that says the request may have run, kept errors of servers are passed on, and streams that have begun break off. Servers are not charged with it.

TestRequestsThatOutlastAStopAreAnswered failed before with one host and two: no answer within 100 ms of the host's end.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -31,7 +31,8 @@
 	p.mu.Unlock()
 	j.watch(choice)
 	r := j.exchange(ctx, choice)
-	if j.callerCtx.Err() != nil && !r.served {
+	if !r.served && (j.callerCtx.Err() != nil || p.ending.Err() != nil) {
+		// This host has ended the attempt, not the server.
 		r.outcome = place.OutcomeCancelled
 	}
 	j.broken = j.broken || r.outcome == place.OutcomeBroken
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -122,7 +122,7 @@
 			return
 		}
 		if refusal != nil {
-			j.respondUnplaced(string(refusal.Reason), refusal)
+			j.respondUnplaced(string(refusal.Reason), refusal, refuse.New(refuse.ReasonBackendFailed))
 			return
 		}
 		r := j.attempt(ctx, choice)
@@ -137,6 +137,11 @@
 		if r.sent != retry.SentNothing {
 			j.mayHaveRun = true
 		}
+		if j.proxy.ending.Err() != nil {
+			j.respondUnplaced(string(refuse.ReasonHostStopped), refuse.New(refuse.ReasonStopping).WithRetryAfter(minRetryAfter),
+				refuse.New(refuse.ReasonHostStopped))
+			return
+		}
 		if r.final {
 			j.respondFailed(retry.ActionBreakOff, r)
 			return
@@ -230,9 +235,9 @@
 	}
 }
 
-// respondUnplaced ends a request for which no server could be chosen. If an earlier
-// attempt may have run, the refusal says so.
-func (j *job) respondUnplaced(cause string, refusal *refuse.Refusal) {
+// respondUnplaced ends a request that gets no further attempt, with one of two refusals:
+// neverRan, or mayHaveRun if an earlier attempt may have run.
+func (j *job) respondUnplaced(cause string, neverRan, mayHaveRun *refuse.Refusal) {
 	switch {
 	case j.headerSent:
 		j.writer.Abort()
@@ -241,9 +246,9 @@
 		j.deliver(*j.serverError)
 		j.recordEnd("ServerFailed", cause)
 	case j.mayHaveRun:
-		j.refuse(refuse.New(refuse.ReasonBackendFailed))
+		j.refuse(mayHaveRun)
 	default:
-		j.refuse(refusal)
+		j.refuse(neverRan)
 	}
 }
 
@@ -257,7 +262,7 @@
 // refuse sends a refusal to the caller and logs it.
 func (j *job) refuse(r *refuse.Refusal) {
 	switch r.Reason {
-	case refuse.ReasonUnconfirmed, refuse.ReasonNotReady, refuse.ReasonStopping:
+	case refuse.ReasonUnconfirmed, refuse.ReasonNotReady, refuse.ReasonStopping, refuse.ReasonHostStopped:
 		// With a new connection the caller can reach another host.
 		j.writer.CloseAfter()
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -123,6 +123,9 @@
 	// draining is cancelled by startDrain when waiting requests are to be refused.
 	draining   context.Context
 	startDrain context.CancelFunc
+	// ending is cancelled by endRequests when open requests are to be answered at once.
+	ending      context.Context
+	endRequests context.CancelFunc
 	buffers    buffers
 	// mu guards Placer, Repeats, servers, notices and limits.
 	mu sync.Mutex
@@ -145,6 +148,7 @@
 	p.notices = notice.NewTable()
 	p.limits, p.buckets = limit.NewTable(), map[string]*limit.Bucket{}
 	p.draining, p.startDrain = context.WithCancel(context.Background())
+	p.ending, p.endRequests = context.WithCancel(context.Background())
 	p.droppedRequestFields = map[string]bool{}
 	reserved := append([]string{p.Fields.Key, p.Fields.Workspace, p.Fields.Server, p.Fields.Urgency, p.Fields.Timeout, p.Fields.NotRun}, p.Fields.Reserved...)
 	for _, f := range reserved {
@@ -184,6 +188,10 @@
 // stopping host could not finish them. They have not run.
 func (p *Proxy) Drain() { p.startDrain() }
 
+// EndRequests ends the attempts of all open requests because the host's process is about to
+// end. Callers without a part of a response get a refusal; other responses break off.
+func (p *Proxy) EndRequests() { p.endRequests() }
+
 // SetServers replaces the list of servers that requests are placed on.
 func (p *Proxy) SetServers(all []fleet.Server) {
 	p.mu.Lock()
@@ -230,6 +238,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, (j.deadline - j.arrived).Duration())
 	defer cancel()
+	defer context.AfterFunc(p.ending, cancel)()
 	j.callerCtx = ctx
 	defer func() { p.buffers.release(j.buffered) }()
 	j.run(limited)
--- a/internal/serve/proxyd/proxyd.go
+++ b/internal/serve/proxyd/proxyd.go
@@ -5,7 +5,8 @@
 // A graceful shutdown leaves the load balancer time to react. Readiness fails first,
 // while requests are still accepted. Once the balancer has had time to notice,
 // responses carry "Connection: close". Then the listener closes and waiting requests
-// are refused, and Stop returns when the last response is written or StopTime ends.
+// are refused, and Stop returns when the last response is written or StopTime ends. Requests
+// that servers still run then are answered that their outcome is unknown.
 //
 // # Usage
 //
@@ -63,6 +64,11 @@
 	// stopMargin is how long before the end of StopTime Stop gives up waiting for
 	// open connections and returns.
 	stopMargin = 400 * clock.Millis(1)
+	// lastAnswersTime is how long Stop then waits until the requests that are still open
+	// have been answered. The rest of stopMargin is for the log.
+	lastAnswersTime = 150 * clock.Millis(1)
+	// lastAnswersCheck is the interval of the checks for unanswered requests.
+	lastAnswersCheck = 10 * clock.Millis(1)
 	// stopCheckInterval is the interval of the checks for open connections.
 	stopCheckInterval = 50 * clock.Millis(1)
 )
@@ -261,5 +267,19 @@
 		}
 		<-h.Clock.After(stopCheckInterval)
 	}
+	h.endRequests()
 	h.Log.Info("Stopped.", "open", h.httpServer.Open(), "took", h.Clock.Now()-began)
 }
+
+// endRequests answers the requests that are still open, and waits until that is done.
+func (h *Host) endRequests() {
+	open := h.httpServer.Open()
+	if open == 0 {
+		return
+	}
+	h.Log.Warn("The time to stop is over; open requests are ended.", "open", open)
+	h.Proxy.EndRequests()
+	for until := h.Clock.Now() + lastAnswersTime; h.httpServer.Open() > 0 && h.Clock.Now() < until; {
+		<-h.Clock.After(lastAnswersCheck)
+	}
+}
--- a/internal/serve/refuse/refuse.go
+++ b/internal/serve/refuse/refuse.go
@@ -45,6 +45,7 @@
 	ReasonTooManyOpen       Reason = "TooManyOpen"
 	ReasonNotReady          Reason = "NotReady"
 	ReasonStopping          Reason = "Stopping"
+	ReasonHostStopped       Reason = "HostStopped"
 	ReasonManifestUncertain Reason = "ManifestUncertain"
 	ReasonShed              Reason = "Shed"
 	ReasonExpired           Reason = "Expired"
@@ -111,6 +112,7 @@
 	ReasonTooManyOpen:       {429, RanNo, "the workspace has too many open requests"},
 	ReasonNotReady:          {503, RanNo, "this host has no manifest that is known to be in force"},
 	ReasonStopping:          {503, RanNo, "this host is stopping"},
+	ReasonHostStopped:       {502, RanUnknown, "this host stopped before the backend server answered"},
 	ReasonManifestUncertain: {503, RanNo, "a manifest change is undecided and the two generations differ on this request"},
 	ReasonShed:              {429, RanNo, "demand exceeds capacity"},
 	ReasonExpired:           {503, RanNo, "no backend server was free within the class's longest wait"},
--- a/internal/tools/trace/cause.go
+++ b/internal/tools/trace/cause.go
@@ -26,6 +26,7 @@
 		"Full":        "demand exceeded capacity: after waited milliseconds in its keeper's queue no engine could start it in time, or the servers themselves refused it; it has not run",
 		"NoServer":    "no backend server of the service could be reached, or all had been tried; it has not run",
 		"Stopping":    "the host was stopping and no server had been selected yet; it has not run",
+		"HostStopped": "the host's time to stop was over while a server still ran the request; it may have run",
 		"OutOfTime":   "the caller's deadline passed before a server was selected; it has not run",
 		"TimedOut":    "the server that got the request did not answer within the route's time limit; it may have run",
 		"Quarantined": "a segment of the prompt is quarantined, because prompts with it have crashed servers; it has not run. See the lines of prefix guard",
@@ -36,6 +37,7 @@
 		"Silent":      "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
 		"TooLong":     "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
 		"EndUnmarked": "the stream had started in chunks at one server and ended with the connection to another one, which marks no end; it may have been complete",
+		"HostStopped": "the stream had started and its server still ran it when the host's time to stop was over",
 		"":            "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
 	},
 	"CallerGone": {
--- a/internal/tools/verbs/front_test.go
+++ b/internal/tools/verbs/front_test.go
@@ -359,3 +359,47 @@
 	close(first)
 	c.Assert(s.cause("waits").Name, qt.Equals, "Stopping")
 }
+
+// A host that stops ends its process when its time is over. Requests that a server still runs
+// then get an answer that says so, and no closed connection.
+func TestRequestsThatOutlastAStopAreAnswered(t *testing.T) {
+	for _, hosts := range []int{1, 2} {
+		t.Run(fmt.Sprint("hosts=", hosts), func(t *testing.T) {
+			c := qt.New(t)
+			s := newHarness(c, hosts)
+			s.chat.SetDefault(origin.Silent)
+			s.app.SetDefault(origin.Silent)
+			const lateAfter = 1_200 * time.Millisecond // just before requests are refused
+			stopped := make(chan struct{})
+			began := time.Now()
+			go func() { defer close(stopped); s.hosts[0].stop() }()
+			type answer struct {
+				id, text string
+				status   int
+				whole    bool
+			}
+			answers := make(chan answer, 2)
+			send := func(path, id, more string) {
+				go func() {
+					status, text, whole := s.send(0, path, id, more)
+					answers <- answer{id, text, status, whole}
+				}()
+			}
+			send("/chat/1", "early-chat", promptHeaders)
+			time.Sleep(lateAfter - time.Since(began))
+			send("/booking/1", "late-booking", "")
+			<-stopped
+			for range 2 {
+				select {
+				case got := <-answers:
+					c.Check(got.status, qt.Equals, 502, qt.Commentf("%s", got.id))
+					c.Check(got.whole, qt.IsTrue, qt.Commentf("%s", got.id))
+					c.Check(got.text, qt.Contains, `"Ran":"Unknown"`, qt.Commentf("%s", got.id))
+					c.Check(s.chat.Runs(got.id)+s.app.Runs(got.id), qt.Equals, 1)
+				case <-time.After(100 * time.Millisecond):
+					c.Fatal("a request has no answer when its host ends")
+				}
+			}
+		})
+	}
+}
