Resumed streams go on only with events of a stream

Cause: whatever came with a success status was taken for the rest of the stream, and its end for the end of the stream.

Change: the response has to have the status and media type of the one whose header the caller has, and at least one event. Other attempts fail (ResumeFailed). The streams of serve were looked at: they decode each event and need the last one.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -103,6 +103,14 @@
 	LengthStream       Behavior = "LengthStream"
 	LengthStreamAtOnce Behavior = "LengthStreamAtOnce"
 	CutLengthStream    Behavior = "CutLengthStream"
+	// ErrorAsSuccess, ErrorHead, NoContent and EmptySuccess answer a stream with a success that
+	// is none: an error in JSON, the whole head of an error as text, or nothing. NoEvents
+	// answers with a stream without events that ends in order.
+	ErrorAsSuccess Behavior = "ErrorAsSuccess"
+	ErrorHead      Behavior = "ErrorHead"
+	NoContent      Behavior = "NoContent"
+	EmptySuccess   Behavior = "EmptySuccess"
+	NoEvents       Behavior = "NoEvents"
 	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
 	crashAtSegment Behavior = "CrashAtSegment"
 )
@@ -414,6 +422,9 @@
 	if e, ok := endlessResponses[behavior]; ok {
 		return o.writeEndless(c, id, e)
 	}
+	if o.Stream && oddSuccesses[behavior] != nil {
+		return o.writeOddSuccess(c, id, oddSuccesses[behavior])
+	}
 	if parts, ok := lengthStreams[behavior]; ok {
 		return o.writeLengthStream(c, id, parts)
 	}
@@ -638,6 +649,34 @@
 	return err == nil && half.keepsOpen
 }
 
+// oddSuccess is a success that is no stream of events.
+type oddSuccess struct {
+	status            int
+	contentType, body string
+}
+
+var oddSuccesses = map[Behavior]*oddSuccess{
+	ErrorAsSuccess: {http.StatusOK, "application/json", "{\"error\": \"overloaded\"}\n\n"},
+	ErrorHead:      {http.StatusOK, "text/plain", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed\n\n"},
+	NoContent:      {http.StatusNoContent, "", ""},
+	EmptySuccess:   {http.StatusOK, "", ""},
+	NoEvents:       {http.StatusOK, "text/event-stream", ""},
+}
+
+// writeOddSuccess reports whether the connection stays open.
+func (o *Origin) writeOddSuccess(c net.Conn, id string, odd *oddSuccess) bool {
+	fields := ""
+	if odd.contentType != "" {
+		fields += "Content-Type: " + odd.contentType + "\r\n"
+	}
+	if odd.status != http.StatusNoContent {
+		fields += fmt.Sprintf("Content-Length: %d\r\n", len(odd.body))
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\n%s%s: %s\r\n%s: stamp-%s\r\n\r\n%s",
+		odd.status, fields, o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, odd.body)
+	return err == nil
+}
+
 // lengthStreams are the parts in which a stream with a Content-Length is sent, the first with
 // the header.
 var lengthStreams = map[Behavior][]string{
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -159,15 +159,31 @@
 		// The server states that it did not run the request.
 		return result{outcome: place.OutcomeFull, sent: retry.SentNothing, cause: "NotRun"}
 	}
+	if j.headerSent && !j.continues(response) {
+		return resumeFailed
+	}
 	if j.route.Kind == route.KindStream && response.Status < fasthttp.StatusMultipleChoices {
 		return j.forwardStream(response, firstEventBy)
 	}
-	if j.headerSent {
-		return result{outcome: place.OutcomeFailed, sent: retry.SentWhole, cause: "ResumeFailed"}
-	}
 	return j.forwardWhole(response)
 }
 
+// resumeFailed is the result of an attempt whose response does not continue the stream that
+// the caller has a part of.
+var resumeFailed = result{outcome: place.OutcomeFailed, sent: retry.SentWhole, cause: "ResumeFailed"}
+
+// continues reports whether a response can go on with the stream whose header the caller got.
+// An error can come with the status of a success, too.
+func (j *job) continues(response wire.Response) bool {
+	return response.Status == j.streamStatus && mediaType(response) == j.streamType
+}
+
+// mediaType returns the media type of a response in lower case, without its parameters.
+func mediaType(response wire.Response) string {
+	name, _, _ := strings.Cut(response.Header(fasthttp.HeaderContentType), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // failedResult returns the result of an attempt that ended with a transport error.
 func failedResult(err error, sent wire.Sent) result {
 	switch {
--- a/internal/serve/proxy/job.go
+++ b/internal/serve/proxy/job.go
@@ -50,11 +50,14 @@
 	// serverError is a server's error response, which the caller gets if no further
 	// attempt succeeds.
 	serverError *bufferedResponse
-	// headerSent is set once the header of a stream was sent to the caller. lastEvent
-	// is the ID of the last event sent.
-	headerSent  bool
-	lastEvent   string
-	firstByteAt clock.Millis
+	// headerSent is set once the header of a stream was sent to the caller, with
+	// streamStatus and the media type streamType. lastEvent is the ID of the last event
+	// sent.
+	headerSent   bool
+	streamStatus int
+	streamType   string
+	lastEvent    string
+	firstByteAt  clock.Millis
 	// quarantinedSegment is the segment for which the prompt is refused.
 	quarantinedSegment string
 	// watched is the ID of the current attempt for Proxy.Guard, "" if a keeper watches
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -126,7 +126,7 @@
 	// ending is cancelled by endRequests when open requests are to be answered at once.
 	ending      context.Context
 	endRequests context.CancelFunc
-	buffers    buffers
+	buffers     buffers
 	// mu guards Placer, Repeats, servers, notices and limits.
 	mu sync.Mutex
 	// servers is the list from the servers' records. notices is what servers have said
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -121,7 +121,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return j.endStream(response, c)
+			return j.endStream(response, c, begun)
 		case err != nil:
 			return failedResult(err, wire.SentAll)
 		case j.writer.Broken():
@@ -164,6 +164,7 @@
 // begin sends the header of a stream and its first events. The caller's response is framed
 // only if the server's is.
 func (j *job) begin(response wire.Response, events []byte) {
+	j.streamStatus, j.streamType = response.Status, mediaType(response)
 	if response.EndUnmarked() {
 		j.writer.EndWithConnection()
 	}
@@ -176,8 +177,13 @@
 // endStream ends the caller's response after the server ended its own. A stream that ends
 // inside an event is incomplete, whatever its framing says, and so is one that ends with
 // its connection before the first event. One that ends with its connection after an event is
-// forwarded as such, and broken off if the caller was promised a marked end.
-func (j *job) endStream(response wire.Response, c *eventBuffer) result {
+// forwarded as such, and broken off if the caller was promised a marked end. A resumed stream
+// without any event, for which begun is not set, does not show that the one that broke off
+// was complete.
+func (j *job) endStream(response wire.Response, c *eventBuffer, begun bool) result {
+	if j.headerSent && !begun {
+		return resumeFailed
+	}
 	inEvent := len(bytes.TrimSpace(c.buffer)) > 0
 	if inEvent || (!j.headerSent && response.EndUnmarked()) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
--- a/internal/serve/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +144,27 @@
 	c.Check(got.whole, qt.IsTrue)
 	c.Check(got.body, qt.Equals, origin.FullStream())
 }
+
+// The next server of a stream that broke off answers with an error, or with a success that is
+// no stream.
+func TestErrorOfNextServerIsNoPartOfResumedStream(t *testing.T) {
+	for _, second := range []origin.Behavior{
+		origin.Fail, origin.NotRun, origin.Moved, origin.Reset, origin.UnnamedRefusal, origin.StrayRefusal,
+		origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents,
+	} {
+		for _, broker := range []bool{false, true} {
+			t.Run(fmt.Sprint(second, "/broker=", broker), func(t *testing.T) {
+				c, r := start(t, 3, true)
+				if broker {
+					r.withBroker()
+				}
+				setActs(r, []origin.Behavior{origin.Tear, second})
+				got := r.send("POST", "/resumed/", "s1", fmt.Sprintf("%s: own:900\r\nContent-Length: 0\r\n", fields.PromptSegments))
+				c.Check(got.status, qt.Equals, 200)
+				whole := origin.FullStream()
+				c.Check(strings.HasPrefix(whole, got.body), qt.IsTrue, qt.Commentf("%q", got.body))
+				c.Check(got.whole, qt.Equals, got.body == whole)
+			})
+		}
+	}
+}
--- a/internal/tools/trace/cause.go
+++ b/internal/tools/trace/cause.go
@@ -34,11 +34,12 @@
 			"Look for the server's own failure at that time",
 	},
 	"BrokenOff": {
-		"Silent":      "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
-		"TooLong":     "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
-		"EndUnmarked": "the stream had started in chunks at one server and ended with the connection to another one, which marks no end; it may have been complete",
-		"HostStopped": "the stream had started and its server still ran it when the host's time to stop was over",
-		"":            "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
+		"Silent":       "the stream had started and its server sent nothing more until the time limit; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"TooLong":      "the stream had started when its server sent an event without an end; the stream may not be resumed, or no server, retry budget or time was left to resume it",
+		"EndUnmarked":  "the stream had started in chunks at one server and ended with the connection to another one, which marks no end; it may have been complete",
+		"ResumeFailed": "the stream had started and broke off; the next server's answer was no stream that goes on with it, and no server, retry budget or time was left for another attempt",
+		"HostStopped":  "the stream had started and its server still ran it when the host's time to stop was over",
+		"":             "the stream had started when the connection to its server ended; it may not be resumed, so it was closed before its end",
 	},
 	"CallerGone": {
 		"": "the caller closed its connection; see first and pause for how long it had waited",
