Resumed streams do not start over

Change: the first event of a resumed stream needs a higher ID than the last one sent, or the attempt fails (ResumeFailed). The stand-in's streams with a length start after the ID that the request names, and the soak plays all new behaviors.

TestErrorOfNextServerIsNoPartOfResumedStream failed before in its two new cases.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -103,14 +103,16 @@
 	LengthStream       Behavior = "LengthStream"
 	LengthStreamAtOnce Behavior = "LengthStreamAtOnce"
 	CutLengthStream    Behavior = "CutLengthStream"
-	// ErrorAsSuccess, ErrorHead, NoContent and EmptySuccess answer a stream with a success that
-	// is none: an error in JSON, the whole head of an error as text, or nothing. NoEvents
-	// answers with a stream without events that ends in order.
+	// ErrorAsSuccess, ErrorHead, NoContent and EmptySuccess answer a request that resumes a
+	// stream with a success that is none: an error in JSON, the whole head of an error as text,
+	// or nothing. NoEvents answers it with a stream without events that ends in order, and
+	// StartOver with all events from the first on.
 	ErrorAsSuccess Behavior = "ErrorAsSuccess"
 	ErrorHead      Behavior = "ErrorHead"
 	NoContent      Behavior = "NoContent"
 	EmptySuccess   Behavior = "EmptySuccess"
 	NoEvents       Behavior = "NoEvents"
+	StartOver      Behavior = "StartOver"
 	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
 	crashAtSegment Behavior = "CrashAtSegment"
 )
@@ -419,17 +421,8 @@
 // stays open.
 func (o *Origin) perform(c net.Conn, r *http.Request, behavior Behavior) bool {
 	id := r.Header.Get(o.Fields.RequestID)
-	if e, ok := endlessResponses[behavior]; ok {
-		return o.writeEndless(c, id, e)
-	}
-	if o.Stream && oddSuccesses[behavior] != nil {
-		return o.writeOddSuccess(c, id, oddSuccesses[behavior])
-	}
-	if parts, ok := lengthStreams[behavior]; ok {
-		return o.writeLengthStream(c, id, parts)
-	}
-	if half, ok := halfStreams[behavior]; ok {
-		return o.writeHalf(c, id, half)
+	if open, ok := o.performStream(c, r, behavior); ok {
+		return open
 	}
 	if write, ok := strayResponses[behavior]; ok {
 		return write(o, c) && o.writeAnswer(c, r, behavior)
@@ -465,6 +458,26 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
+// performStream performs the behaviors that send bytes without end or an odd stream. It
+// reports whether the connection stays open, and whether the behavior is one of them.
+func (o *Origin) performStream(c net.Conn, r *http.Request, behavior Behavior) (open, ok bool) {
+	id := r.Header.Get(o.Fields.RequestID)
+	if e, ok := endlessResponses[behavior]; ok {
+		return o.writeEndless(c, id, e), true
+	}
+	if odd, ok := oddSuccesses[behavior]; ok && o.Stream && r.Header.Get(o.Fields.LastEvent) != "" {
+		return o.writeOddSuccess(c, id, odd), true
+	}
+	switch behavior {
+	case LengthStream, LengthStreamAtOnce, CutLengthStream:
+		return o.writeLengthStream(c, r, behavior), true
+	}
+	if half, ok := halfStreams[behavior]; ok {
+		return o.writeHalf(c, id, half), true
+	}
+	return false, false
+}
+
 // awaitClose waits until the caller closes the connection. It returns false, so that the
 // connection is closed.
 func awaitClose(c net.Conn) bool {
@@ -574,13 +587,9 @@
 // names, all of them without that field. Tear resets the connection in the middle
 // of event Events/2; EndlessEvent makes that event endless.
 func (o *Origin) writeStream(c net.Conn, r *http.Request, behavior Behavior) bool {
-	first := 1
-	if last := r.Header.Get(o.Fields.LastEvent); last != "" {
-		n, err := strconv.Atoi(last)
-		if err != nil {
-			return false
-		}
-		first = n + 1
+	first, ok := o.firstEvent(r)
+	if !ok {
+		return false
 	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n%s: stamp-%s\r\n%s\r\n",
 		o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID, o.statementFields())
@@ -655,16 +664,17 @@
 	contentType, body string
 }
 
-var oddSuccesses = map[Behavior]*oddSuccess{
+var oddSuccesses = map[Behavior]oddSuccess{
 	ErrorAsSuccess: {http.StatusOK, "application/json", "{\"error\": \"overloaded\"}\n\n"},
 	ErrorHead:      {http.StatusOK, "text/plain", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed\n\n"},
 	NoContent:      {http.StatusNoContent, "", ""},
 	EmptySuccess:   {http.StatusOK, "", ""},
 	NoEvents:       {http.StatusOK, "text/event-stream", ""},
+	StartOver:      {http.StatusOK, "text/event-stream", FullStream()},
 }
 
 // writeOddSuccess reports whether the connection stays open.
-func (o *Origin) writeOddSuccess(c net.Conn, id string, odd *oddSuccess) bool {
+func (o *Origin) writeOddSuccess(c net.Conn, id string, odd oddSuccess) bool {
 	fields := ""
 	if odd.contentType != "" {
 		fields += "Content-Type: " + odd.contentType + "\r\n"
@@ -677,30 +687,44 @@
 	return err == nil
 }
 
-// lengthStreams are the parts in which a stream with a Content-Length is sent, the first with
-// the header.
-var lengthStreams = map[Behavior][]string{
-	LengthStream:       strings.SplitAfter(FullStream(), "\n\n"),
-	LengthStreamAtOnce: {FullStream()},
-	CutLengthStream:    {FullStream()[:strings.Index(FullStream(), Event(Events/2))]},
-}
-
-// writeLengthStream reports whether the connection stays open.
-func (o *Origin) writeLengthStream(c net.Conn, id string, parts []string) bool {
-	header := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n",
-		len(FullStream()), o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID)
-	sent := 0
-	for i, part := range parts {
-		sent += len(part)
-		if i == 0 {
-			part = header + part
+// writeLengthStream sends a stream with a Content-Length. It reports whether the connection stays open.
+func (o *Origin) writeLengthStream(c net.Conn, r *http.Request, behavior Behavior) bool {
+	first, ok := o.firstEvent(r)
+	if !ok {
+		return false
+	}
+	var events []string
+	for n := first; n <= Events; n++ {
+		events = append(events, Event(n))
+	}
+	whole := strings.Join(events, "")
+	if behavior == LengthStreamAtOnce {
+		events = []string{whole}
+	}
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n%s: %s\r\n%s: stamp-%s\r\n\r\n",
+		len(whole), o.Fields.RequestID, r.Header.Get(o.Fields.RequestID), o.Fields.ServerStamp, o.ID)
+	for i, event := range events {
+		if behavior == CutLengthStream && i == len(events)/2 {
+			return false
 		}
-		if _, err := io.WriteString(c, part); err != nil {
+		text += event
+		if _, err := io.WriteString(c, text); err != nil {
 			return false
 		}
+		text = ""
 		time.Sleep(eventInterval)
 	}
-	return sent == len(FullStream())
+	return true
+}
+
+// firstEvent returns the number of the first event that a request wants.
+func (o *Origin) firstEvent(r *http.Request) (int, bool) {
+	last := r.Header.Get(o.Fields.LastEvent)
+	if last == "" {
+		return 1, true
+	}
+	n, err := strconv.Atoi(last)
+	return n + 1, err == nil
 }
 
 // crashDelay is the time from the begin of an answer to the crash.
--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -158,15 +158,10 @@
 	before := f.servers
 	f.servers = make(map[string]Server, len(list))
 	for _, s := range list {
-		old, listed := before[s.ID]
 		_, unrecorded := missing[s.ID]
-		if listed && (unrecorded || now < f.heldUntil) && old.outdates(s) {
-			s = old
+		if s, ok := f.newest(now, before, s, unrecorded); ok {
+			f.servers[s.ID] = s
 		}
-		if unrecorded && (s.Leaving || (!listed && f.departedSince(s))) {
-			continue
-		}
-		f.servers[s.ID] = s
 	}
 	for id, s := range before {
 		if _, ok := f.servers[id]; !ok {
@@ -202,6 +197,17 @@
 	}
 }
 
+// newest returns the newest of what another Fleet and this one know of a server. It returns
+// false if the server has no record and is known to have left.
+func (f *Fleet) newest(now clock.Millis, before map[string]Server, s Server, unrecorded bool) (Server, bool) {
+	old, listed := before[s.ID]
+	if listed && (unrecorded || now < f.heldUntil) && old.outdates(s) {
+		s = old
+	}
+	left := s.Leaving || (!listed && f.departedSince(s))
+	return s, !unrecorded || !left
+}
+
 // departedSince reports whether a record is not newer than the last one of a server that was
 // dropped.
 func (f *Fleet) departedSince(s Server) bool {
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strconv"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -94,6 +95,24 @@
 	return string(bytes.TrimSpace(line))
 }
 
+// follows reports whether events may come after the one with the ID last. IDs increase; those
+// that are no numbers are only told apart.
+func follows(events []byte, last string) bool {
+	first := ""
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			first = string(bytes.TrimSpace(id))
+			break
+		}
+	}
+	next, err := strconv.ParseInt(first, 10, 64)
+	before, lastErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return first == "" || first != last
+	}
+	return next > before
+}
+
 // forwardStream forwards the events of a response as they arrive. Of a
 // stream that breaks off it forwards only complete events, so that the stream can be
 // resumed at another server. The first event is due at firstEventBy: bytes that complete no event are
@@ -102,7 +121,7 @@
 	c := eventBuffers.Get().(*eventBuffer)
 	c.buffer = c.buffer[:0]
 	defer c.release(&j.proxy.buffers)
-	begun := false
+	begun, resumed := false, j.headerSent
 	for {
 		spare, ok := c.spare(&j.proxy.buffers)
 		if !ok {
@@ -112,6 +131,9 @@
 		c.grow(n)
 		// The last read of a body with a length returns bytes together with io.EOF.
 		if end := c.completeBytes(); end > 0 {
+			if resumed && !begun && !follows(c.buffer[:end], j.lastEvent) {
+				return resumeFailed
+			}
 			j.forwardEvents(response, c.buffer[:end])
 			c.drop(end)
 			if !begun && response.BodyBegun != nil {
--- a/internal/serve/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -150,7 +150,7 @@
 func TestErrorOfNextServerIsNoPartOfResumedStream(t *testing.T) {
 	for _, second := range []origin.Behavior{
 		origin.Fail, origin.NotRun, origin.Moved, origin.Reset, origin.UnnamedRefusal, origin.StrayRefusal,
-		origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents,
+		origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents, origin.StartOver,
 	} {
 		for _, broker := range []bool{false, true} {
 			t.Run(fmt.Sprint(second, "/broker=", broker), func(t *testing.T) {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -190,7 +190,11 @@
 }
 
 // faultyStreams are the ways in which only an engine misbehaves.
-var faultyStreams = []origin.Behavior{origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent, origin.CutStream, origin.UnframedStream}
+var faultyStreams = []origin.Behavior{
+	origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent, origin.CutStream, origin.UnframedStream,
+	origin.LengthStream, origin.LengthStreamAtOnce, origin.CutLengthStream, origin.LongEvent,
+	origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents, origin.StartOver,
+}
 
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
 	s := hn.targetServer(f)
