Only identified responses are forwarded on the platform

Cause: a response that names no request was taken for that to the waiting one, unless it promises that the request did not run; the stamp was read nowhere.

Change: where servers name the request in all their responses, those without the id are passed over like those of other requests, so that the rightful one behind them is read; a success without the stamp is a broken answer. A site file's servers need neither.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -66,6 +66,15 @@
 	UnnamedRefusal Behavior = "UnnamedRefusal"
 	LateCopy       Behavior = "LateCopy"
 	Informational  Behavior = "Informational"
+	// UnnamedSuccess, UnnamedFailure and UnnamedEmpty send a response without an id or a stamp
+	// before the right one. LateUnnamed sends such a success a little after the right one.
+	// Unstamped sends the right response without a stamp, and Unnamed without an id or a stamp.
+	UnnamedSuccess Behavior = "UnnamedSuccess"
+	UnnamedFailure Behavior = "UnnamedFailure"
+	UnnamedEmpty   Behavior = "UnnamedEmpty"
+	LateUnnamed    Behavior = "LateUnnamed"
+	Unstamped      Behavior = "Unstamped"
+	Unnamed        Behavior = "Unnamed"
 	// Unframed sends a response without a Content-Length, delimited by the close of
 	// the connection.
 	Unframed Behavior = "Unframed"
@@ -438,6 +447,11 @@
 		return false
 	case Moved:
 		return o.writePlain(c, 421, id, "moved", "")
+	case Unstamped:
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n%s: %s\r\n\r\nbare", o.Fields.RequestID, id)
+		return err == nil
+	case Unnamed:
+		return writeUnnamed(c, 200, "bare")
 	case Reset:
 		return reset(c)
 	case Silent:
@@ -494,6 +508,9 @@
 	},
 	StrayRefusal:   func(o *Origin, c net.Conn) bool { return o.writeError(c, "another-request", NotRun) },
 	UnnamedRefusal: func(o *Origin, c net.Conn) bool { return o.writeError(c, "", NotRun) },
+	UnnamedSuccess: func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "stray") },
+	UnnamedFailure: func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 500, "stray") },
+	UnnamedEmpty:   func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "") },
 	Informational: func(_ *Origin, c net.Conn) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
 		return err == nil
@@ -505,12 +522,27 @@
 		return o.writePlain(c, 200, "another-request", "extra", "")
 	},
 	LateCopy: func(o *Origin, c net.Conn, id string) bool {
-		time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
-		return true
+		return writeLate(func() { o.writePlain(c, 200, id, "copy of "+o.ID, "") })
+	},
+	LateUnnamed: func(_ *Origin, c net.Conn, _ string) bool {
+		return writeLate(func() { writeUnnamed(c, 200, "stray") })
 	},
 }
 
-// maxCopyDelay is the longest delay of a LateCopy: about the time until the connection is used
+// writeUnnamed writes a response without an id or a stamp.
+func writeUnnamed(c net.Conn, status int, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	return err == nil
+}
+
+// writeLate calls a function after at most maxCopyDelay. It returns true, so that the
+// connection stays open.
+func writeLate(write func()) bool {
+	time.AfterFunc(time.Duration(rand.Int64N(int64(maxCopyDelay))), write)
+	return true
+}
+
+// maxCopyDelay is the longest delay of a late response: about the time until the connection is used
 // again under load.
 const maxCopyDelay = 3 * time.Millisecond
 
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -109,6 +109,7 @@
 		Body:             r.Body,
 		IDField:          j.proxy.Fields.RequestID,
 		ID:               j.id,
+		RequireID:        j.proxy.ServersIdentify,
 		HeaderTimeout:    wait,
 		BodyBeginTimeout: wait,
 		BodyTimeout:      j.bodyTimeout(),
@@ -127,6 +128,9 @@
 	if !response.Attributed && j.promisesNotRun(response) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	}
+	if j.lacksStamp(response) {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeUnstamped}
+	}
 	if response.Status == fasthttp.StatusMisdirectedRequest {
 		// The server at this address is not the one in the Server field.
 		return result{outcome: place.OutcomeMoved, sent: retry.SentNothing, cause: "Moved"}
@@ -143,6 +147,15 @@
 // causeCrossed is the cause of a response that belongs to another request, or may.
 const causeCrossed = "Crossed"
 
+// causeUnstamped is the cause of a success that nothing shows to come from the server.
+const causeUnstamped = "Unstamped"
+
+// lacksStamp reports whether a response is a success without the stamp that servers set.
+func (j *job) lacksStamp(response wire.Response) bool {
+	f := j.proxy.Fields.ServerStamp
+	return j.proxy.ServersIdentify && f != "" && response.Status < fasthttp.StatusMultipleChoices && response.Header(f) == ""
+}
+
 // promisesNotRun reports whether callers and this host take a response for the statement that
 // the request did not run.
 func (j *job) promisesNotRun(response wire.Response) bool {
--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -13,7 +13,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/policy/place"
 )
 
 func TestReservedFieldsOfCallerAreReplaced(t *testing.T) {
@@ -227,7 +229,10 @@
 }
 
 func TestStrayResponsesBeforeTheRightOneCostNoRequest(t *testing.T) {
-	for _, act := range []origin.Behavior{origin.Stray, origin.StrayRefusal, origin.Informational} {
+	for _, act := range []origin.Behavior{
+		origin.Stray, origin.StrayRefusal, origin.Informational,
+		origin.UnnamedRefusal, origin.UnnamedSuccess, origin.UnnamedFailure, origin.UnnamedEmpty,
+	} {
 		for _, stream := range []bool{false, true} {
 			c, r := start(t, 1, stream)
 			path := "/booking/x"
@@ -262,14 +267,65 @@
 	}
 }
 
-// Second copies of answers arrive while their connections are being used again.
+// A success that nothing shows to come from the server of the request reaches no caller.
+func TestSuccessWithoutIdentificationIsNotForwarded(t *testing.T) {
+	for _, test := range []struct {
+		behavior   origin.Behavior
+		path       string
+		identified bool
+		status     int
+	}{
+		{origin.Unstamped, "/booking/", true, 502},
+		{origin.Unstamped, "/lookup/", true, 200},
+		{origin.Unstamped, "/once/", true, 502},
+		{origin.Unnamed, "/booking/", true, 504},
+		{origin.Unnamed, "/lookup/", true, 200},
+		{origin.Unnamed, "/booking/", false, 200},
+		{origin.Unstamped, "/booking/", false, 200},
+	} {
+		t.Run(fmt.Sprint(test.behavior, test.path, test.identified), func(t *testing.T) {
+			c, r := start(t, 2, false)
+			r.forwarder.ServersIdentify = test.identified
+			setActs(r, []origin.Behavior{test.behavior})
+			got := r.send("POST", test.path, "r1", "Content-Length: 0\r\n")
+			c.Check(got.status, qt.Equals, test.status)
+			c.Check(got.body == "bare", qt.Equals, !test.identified)
+			if test.path != "/lookup/" {
+				c.Check(r.runs("r1"), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// Each request to a server that never names it waits for its time limit.
+func TestServerThatNeverNamesRequestsIsAvoided(t *testing.T) {
+	c, r := start(t, 2, false)
+	r.servers[0].SetDefault(origin.Unnamed)
+	for i := range 4 * place.FailureThreshold {
+		r.send("POST", "/short/", fmt.Sprint("r", i), "Content-Length: 0\r\n")
+	}
+	r.forwarder.UpdateGauges()
+	c.Assert(r.count.Gauge(meter.Servers, meter.Label("state", "Avoided")), qt.Equals, int64(1))
+	for i := range 8 {
+		c.Check(r.send("POST", "/short/", fmt.Sprint("s", i), "Content-Length: 0\r\n").status, qt.Equals, 200)
+	}
+}
+
+// Second copies of answers, and successes without an id, arrive while their connections are being
+// used again.
 func TestLateCopiesReachNobodyAndCostNoRequest(t *testing.T) {
+	for _, late := range []origin.Behavior{origin.LateCopy, origin.LateUnnamed} {
+		t.Run(string(late), func(t *testing.T) { checkLateResponses(t, late) })
+	}
+}
+
+func checkLateResponses(t *testing.T, late origin.Behavior) {
 	c, r := start(t, 2, false)
 	for _, o := range r.servers {
 		n := 0
 		o.SetScript(func() (origin.Behavior, bool) {
 			n++
-			return origin.LateCopy, n%3 == 0
+			return late, n%3 == 0
 		})
 	}
 	var failed, wrong atomic.Int64
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -114,6 +114,9 @@
 		},
 		Age:    func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
 		Client: &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000},
+
+		ServersIdentify: true,
+
 		Placer: place.New(place.Defaults()),
 		Hosts:  func() int { return 1 },
 		Guard:  &guard.Guard{Self: "host", Clock: clock.System(), Log: l, Count: r.count},
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -81,7 +81,8 @@
 	// HoldOff is the time for which a server that refuses a request wants no more from
 	// this host, in seconds with an optional fraction.
 	HoldOff string
-	// ServerStamp marks responses that come from a server.
+	// ServerStamp marks responses that come from a server. It is the server's for each
+	// success.
 	ServerStamp string
 	// PromptSegments lists the segments of the prompt as NAME:TOKENS, separated by
 	// commas. TokenCounts is the number of prompt tokens, a comma and the maximum
@@ -102,7 +103,10 @@
 	// now is a reading of Clock.Boot.
 	Age    func(now clock.Millis) clock.Millis
 	Client *wire.Client
-	Placer *place.Placer
+	// ServersIdentify is set if servers name the request in all their responses and stamp each
+	// success, as on the platform. Responses that do not are not forwarded then.
+	ServersIdentify bool
+	Placer          *place.Placer
 	// Repeats is the budget of repeated attempts. Apply sets it.
 	Repeats *retry.Window
 	// Hosts returns the number of live hosts.
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -127,13 +127,9 @@
 		if err := t.response.ReadLimitBody(t.reader, 0); err != nil {
 			return Response{}, err
 		}
-		named := ""
-		if t.request.IDField != "" && t.request.ID != "" {
-			named = string(t.response.Header.Peek(t.request.IDField))
-		}
-		if named == "" || named == t.request.ID {
+		if attributed, ok := t.accepts(); ok {
 			t.conn.headerEnded()
-			return t.decode(named == t.request.ID || t.request.IDField == ""), nil
+			return t.decode(attributed), nil
 		}
 		if err := t.passOver(); err != nil {
 			return Response{}, err
@@ -141,6 +137,22 @@
 	}
 }
 
+// accepts reports whether the response whose header was read is taken for that to the request,
+// and whether it names the request.
+func (t *roundTrip) accepts() (attributed, ok bool) {
+	if t.request.IDField == "" || t.request.ID == "" {
+		return true, true
+	}
+	switch string(t.response.Header.Peek(t.request.IDField)) {
+	case t.request.ID:
+		return true, true
+	case "":
+		// After an interim response that is returned here the connection has no further one.
+		return false, !t.request.RequireID || t.response.StatusCode() < fasthttp.StatusOK
+	}
+	return false, false
+}
+
 // passOver reads the rest of a response to another request, within the time and size of
 // the right one.
 func (t *roundTrip) passOver() error {
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -18,8 +18,8 @@
 // byte by byte.
 //
 // A faulty server may send responses that belong to no request of the connection or to an
-// earlier one. Those that name another request are read and passed over, and the
-// connection is closed after the right one.
+// earlier one. Those that name another request, or none where servers always name it, are
+// read and passed over, and the connection is closed after the right one.
 //
 // Established connections can stall for good while new ones work. A connection
 // that makes no progress for ProgressTimeout is closed, together with the idle
@@ -107,6 +107,9 @@
 	// ID the value for this request. Responses that name another one are passed over.
 	IDField string
 	ID      string
+	// RequireID is set if servers name the request in all their responses. Responses that
+	// name none are passed over then, too.
+	RequireID bool
 	// HeaderTimeout bounds the wait for the whole header of the response, in
 	// milliseconds; 0 means that each read of it has the client's ProgressTimeout.
 	HeaderTimeout clock.Millis
--- a/internal/tools/soak/notices.go
+++ b/internal/tools/soak/notices.go
@@ -167,6 +167,8 @@
 // strayCalls are the ways in which a faulty server sends bytes that belong to no request, and
 // lateCalls those that only a server of plain calls has.
 var (
-	strayCalls = []origin.Behavior{origin.StrayRefusal, origin.UnnamedRefusal, origin.Informational}
-	lateCalls  = []origin.Behavior{origin.LateCopy}
+	strayCalls = []origin.Behavior{
+		origin.StrayRefusal, origin.UnnamedRefusal, origin.Informational, origin.UnnamedSuccess, origin.UnnamedFailure, origin.UnnamedEmpty,
+	}
+	lateCalls = []origin.Behavior{origin.LateCopy, origin.LateUnnamed, origin.Unstamped}
 )
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -239,6 +239,9 @@
 		View:   w.View,
 		Age:    w.Age,
 		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout},
+
+		ServersIdentify: true,
+
 		Placer: place.New(place.Defaults()),
 		Log:    l.WithPrefix("pass"),
 		Count:  counters,
