--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -150,6 +150,10 @@
 	}
 	for _, w := range p.Workspaces {
 		for _, k := range w.Keys {
+			if k == "" {
+				// It would be the key of all requests without one.
+				continue
+			}
 			m.keys[sha256.Sum256([]byte(k))] = w
 		}
 	}
