A manifest that cannot be read confirms nothing

Cause: a read whose manifest could not be decoded confirmed the one in force.

Change: such a read confirms nothing, so that keys are refused and the host is not ready within the bounds that hold when the store is away. Hosts that start meanwhile learn of the servers, followers get no younger confirmation, and the next manifest that can be read ends it. A manifest that is in force already is not decoded again at each read.

TestUnreadableManifestConfirmsNothing fails without the refusal to confirm.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -29,6 +29,7 @@
 	Connections     = "siskinsaddle_caller_connections"
 	Manifest        = "siskinsaddle_manifest_version"
 	ManifestAge     = "siskinsaddle_manifest_age_milliseconds"
+	Unreadable      = "siskinsaddle_manifest_unreadable"
 	ReadsStore      = "siskinsaddle_reads_store"
 	Servers         = "siskinsaddle_servers"
 	Hosts           = "siskinsaddle_hosts"
@@ -80,6 +81,7 @@
 	{Connections, "Gauge", "connections", "", "callers' connections"},
 	{Manifest, "Gauge", "version", "", "version of the manifest in force"},
 	{ManifestAge, "Gauge", "milliseconds", "", "age of the manifest's confirmation"},
+	{Unreadable, "Gauge", "0 or 1", "", "1 if the newest manifest that the host has read cannot be decoded"},
 	{ReadsStore, "Gauge", "0 or 1", "", "whether this host reads the store; the others have their news from one that does"},
 	{BufferedBytes, "Gauge", "bytes", "", "memory of responses that are read whole before they are forwarded, and of long events"},
 	{Servers, "Gauge", "servers", "state", "backend servers by state: Usable, Leaving, Avoided; Limited ones, which have named a rate limit, are among the usable, and HeldOff ones, which want no requests for a while, among all"},
--- a/internal/serve/proxyd/proxyd.go
+++ b/internal/serve/proxyd/proxyd.go
@@ -167,21 +167,14 @@
 		h.Count.Set(meter.Manifest, v.Manifest.Version())
 	}
 	h.Count.Set(meter.ManifestAge, int64(h.Watcher.Age(h.Clock.Boot())))
+	h.Count.Set(meter.Unreadable, indicator(h.Watcher.Unreadable()))
 	h.Count.Set(meter.OpenRequests, int64(h.httpServer.Open()))
 	h.Count.Set(meter.Connections, int64(h.httpServer.Connections()))
 	h.Count.Set(meter.Hosts, int64(h.Proxy.Hosts()))
 	h.Count.Set(meter.Goroutines, int64(runtime.NumGoroutine()))
-	ready := int64(0)
-	if h.Ready() {
-		ready = 1
-	}
-	h.Count.Set(meter.Ready, ready)
+	h.Count.Set(meter.Ready, indicator(h.Ready()))
 	if h.Cluster != nil {
-		reads := int64(0)
-		if h.Cluster.Mirror.ReadsStore() {
-			reads = 1
-		}
-		h.Count.Set(meter.ReadsStore, reads)
+		h.Count.Set(meter.ReadsStore, indicator(h.Cluster.Mirror.ReadsStore()))
 	}
 	if h.DroppedLogLines != nil {
 		h.Count.Set(meter.LogQueueDropped, h.DroppedLogLines())
@@ -189,6 +182,14 @@
 	h.Proxy.UpdateGauges()
 }
 
+// indicator returns 1 for true.
+func indicator(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // Apply applies changed settings. The addresses stay those given at Start.
 func (h *Host) Apply(s Settings) { h.liveSettings.Store(&s) }
 
--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -22,6 +22,9 @@
 // the call counts as failed.
 var errStale = errors.New("stale reply: the store's version went back")
 
+// errUnreadable reports a manifest that cannot be decoded.
+var errUnreadable = errors.New("the manifest cannot be read")
+
 // errUnsettled reports a manifest of a restored store that may be older than the newest one.
 var errUnsettled = errors.New("the restored manifest may lack changes")
 
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -10,7 +10,8 @@
 // A watch without changes confirms nothing, since the store may delay changes for
 // a while. The manifest is therefore also read periodically. Each read confirms it
 // as of the time at which the read was sent. The age of that confirmation decides
-// whether API keys are accepted. Ages are measured with the boot-time clock.
+// whether API keys are accepted. Ages are measured with the boot-time clock. A manifest
+// that cannot be decoded may withdraw keys: the one in force is not confirmed beside it.
 //
 // The store may be restored from an older copy. Its versions go back then and are given
 // out again, and its era rises. Positions are compared by era and version, so that late
@@ -147,6 +148,9 @@
 	// missed. settledEra is the last era for which OnSettled was called.
 	restored   restore
 	settledEra int64
+	// unreadable is the position of the newest manifest if it cannot be decoded, zero if it
+	// can.
+	unreadable rows.Revision
 	// positions are the versions of the rows that have held the manifest in force.
 	positions map[int64]bool
 	// recovered notifies when a read of the manifest succeeds after a failed one,
@@ -224,7 +228,8 @@
 		return
 	}
 	manifest := w.follower("manifest", w.Source.ManifestRange, manifestWait)
-	manifest.onSnapshot = func(r rows.Reply) { w.applyManifest(r.Rows, r.Era) }
+	// An error is logged there, and only reads confirm a manifest.
+	manifest.onSnapshot = func(r rows.Reply) { _, _, _ = w.applyManifest(r.Rows, r.Era) }
 	manifest.onChange = manifest.onSnapshot
 	manifest.hasSnapshot, manifest.after = true, after
 	servers := w.follower("servers", w.Source.ServersRange, serversWait)
@@ -345,7 +350,7 @@
 }
 
 // confirm reads the manifest once and returns the position of that read, also with
-// errUnsettled.
+// errUnsettled and errUnreadable.
 func (w *Watcher) confirm(ctx context.Context) (rows.Revision, error) {
 	sent := w.Clock.Boot()
 	settledEra := int64(0)
@@ -362,7 +367,10 @@
 			"era", reply.Era, "version", reply.Version)
 		return rows.Revision{}, errStale
 	}
-	version, at := w.applyManifest(reply.Rows, reply.Era)
+	version, at, err := w.applyManifest(reply.Rows, reply.Era)
+	if err != nil {
+		return reply.Revision(), errUnreadable
+	}
 	if !w.settle(sent, version, at, settledEra) {
 		w.Log.Info("The restored manifest may lack changes; it is not confirmed yet.", "version", version, "era", at.Era, "row", at.Version)
 		return reply.Revision(), errUnsettled
@@ -378,7 +386,7 @@
 func (w *Watcher) confirmFirst(ctx context.Context) (rows.Revision, bool) {
 	for first := true; ctx.Err() == nil; first = false {
 		after, err := w.confirm(ctx)
-		if err == nil || errors.Is(err, errUnsettled) {
+		if err == nil || errors.Is(err, errUnsettled) || errors.Is(err, errUnreadable) {
 			return after, true
 		}
 		if first && ctx.Err() == nil {
@@ -411,7 +419,8 @@
 		if err == nil && failing {
 			w.recovered.notify()
 		}
-		failing = err != nil
+		// Another read before the usual time would find an unreadable manifest again.
+		failing = err != nil && !errors.Is(err, errUnreadable)
 	}
 }
 
@@ -438,22 +447,52 @@
 	return wait + clock.Millis(rand.N(int64(wait)))
 }
 
+// Unreadable reports whether the newest manifest that this host has read cannot be decoded.
+func (w *Watcher) Unreadable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unreadable != rows.Revision{}
+}
+
+// noteUnreadable records whether the manifest at a position of the store can be decoded, and
+// logs a change.
+func (w *Watcher) noteUnreadable(at rows.Revision, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.unreadable
+	if err == nil {
+		if before != (rows.Revision{}) && before.Before(at) {
+			w.Log.Info("The manifest can be read again.", "era", at.Era, "row", at.Version)
+			w.unreadable = rows.Revision{}
+		}
+		return
+	}
+	w.unreadable = at
+	if before != at {
+		w.Log.Error("The newest manifest cannot be read; the one before stays in force, but is not confirmed any more.",
+			"era", at.Era, "row", at.Version, "err", err)
+	}
+}
+
 // applyManifest puts a newer manifest in force. Manifests never go back: rows that
 // are not newer than those in force are ignored. It returns the version of the manifest
-// in the rows and its position, 0 if they have none that can be decoded.
-func (w *Watcher) applyManifest(all []rows.Row, era int64) (int64, rows.Revision) {
+// in the rows and its position, 0 if they have none, and an error if it cannot be decoded.
+func (w *Watcher) applyManifest(all []rows.Row, era int64) (int64, rows.Revision, error) {
 	at := rows.Revision{Era: era}
-	m, err := w.Source.Manifest(all)
-	if err != nil {
-		w.Log.Error("Decoding the manifest failed; the previous manifest stays in force.", "err", err)
-		return 0, at
-	}
-	if m == nil {
-		return 0, at
-	}
 	for _, r := range all {
 		at.Version = max(at.Version, r.Version)
 	}
+	if v := w.View(); v.Manifest != nil && at == v.ManifestRevision {
+		return v.Manifest.Version(), at, nil
+	}
+	m, err := w.Source.Manifest(all)
+	if err == nil && m == nil {
+		return 0, rows.Revision{Era: era}, nil
+	}
+	w.noteUnreadable(at, err)
+	if err != nil {
+		return 0, at, err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v := w.View()
@@ -461,7 +500,7 @@
 		if m.Version() == v.Manifest.Version() {
 			w.positions[at.Version] = true
 		}
-		return m.Version(), at
+		return m.Version(), at, nil
 	}
 	if v.Manifest == nil || m.Version() != v.Manifest.Version() {
 		w.positions = map[int64]bool{}
@@ -472,7 +511,7 @@
 	w.Log.Info("Manifest in force.", "version", m.Version(), "era", at.Era, "row", at.Version,
 		"routes", routes, "services", services, "keys", keys)
 	w.publish(v)
-	return m.Version(), at
+	return m.Version(), at, nil
 }
 
 // newerManifest reports whether the manifest with a version at a position of the store is
@@ -497,7 +536,7 @@
 	}
 	current := v.ServersKnown && w.enterEra(v.ServersRevision.Era) == nil
 	if len(v.ManifestRows) > 0 {
-		w.applyManifest(v.ManifestRows, v.ManifestRevision.Era)
+		_, _, _ = w.applyManifest(v.ManifestRows, v.ManifestRevision.Era) // confirmed below only if it is in force
 	}
 	if current {
 		w.adoptServers(v)
--- a/internal/share/watch/watch_test.go
+++ b/internal/share/watch/watch_test.go
@@ -328,3 +328,44 @@
 		})
 	}
 }
+
+// A manifest that cannot be read may withdraw keys, so nothing confirms the one before it.
+func TestUnreadableManifestConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	store := memdb.New(clock.System())
+	store.Put("op", "manifest", []byte("1"))
+	store.Put("servers", "a", []byte("10.0.0.1:1"))
+	w := startWatcher(c, store)
+	follower := newWatcher(store)
+	confirmed := func(w *watch.Watcher, since clock.Millis) bool {
+		now := clock.System().Boot()
+		return now-w.Age(now) > since
+	}
+	eventually(func() bool { return confirmed(w, 0) && w.View().ServersKnown })
+
+	store.Put("op", "manifest", []byte("unreadable"))
+	eventually(w.Unreadable)
+	since := clock.System().Boot()
+	time.Sleep(100 * time.Millisecond) // ten reads
+	store.Put("op", "other", []byte("x"))
+	time.Sleep(50 * time.Millisecond)
+	c.Check(confirmed(w, since), qt.IsFalse)
+	c.Check(w.Unreadable(), qt.IsTrue)
+	c.Check(w.View().Manifest.Version(), qt.Equals, int64(1))
+	now := clock.System().Boot()
+	follower.Adopt(w.View(), 1, now-w.Age(now))
+	c.Check(confirmed(follower, since), qt.IsFalse)
+
+	// A host that starts meanwhile knows the servers, and has no manifest.
+	started := startWatcher(c, store)
+	eventually(func() bool { return started.View().ServersKnown })
+	c.Check(started.View().Manifest, qt.IsNil)
+	c.Check(confirmed(started, 0), qt.IsFalse)
+
+	store.Put("op", "manifest", []byte("3"))
+	since = clock.System().Boot()
+	for _, all := range []*watch.Watcher{w, started} {
+		eventually(func() bool { return confirmed(all, since) && !all.Unreadable() })
+		c.Check(all.View().Manifest.Version(), qt.Equals, int64(3))
+	}
+}
--- a/internal/tools/trace/trace.go
+++ b/internal/tools/trace/trace.go
@@ -54,20 +54,22 @@
 // stateMessages are the log messages about a change of a host's state, including those
 // of earlier versions.
 var stateMessages = map[string]bool{
-	"Manifest in force.":                                             true,
-	"Readiness changed.":                                             true,
-	"List of servers changed.":                                       true,
-	"List of hosts changed.":                                         true,
-	"The store does not answer.":                                     true,
-	"The store answers again.":                                       true,
-	"The keeper of a service cannot be asked.":                       true,
-	"A grant request to a keeper failed.":                            true,
-	"Settings applied.":                                              true,
-	"Stopping.":                                                      true,
-	"This keeper stood still and begins anew.":                       true,
-	"The keeper's host was suspended; its requests are discarded.":   true,
-	"A server's record cannot be used.":                              true,
-	"Changed settings were refused; the earlier ones stay in force.": true,
+	"Manifest in force.":              true,
+	"Readiness changed.":              true,
+	"List of servers changed.":        true,
+	"List of hosts changed.":          true,
+	"The store does not answer.":      true,
+	"The store answers again.":        true,
+	"The manifest can be read again.": true,
+	"The newest manifest cannot be read; the one before stays in force, but is not confirmed any more.": true,
+	"The keeper of a service cannot be asked.":                                                          true,
+	"A grant request to a keeper failed.":                                                               true,
+	"Settings applied.":                                                                                 true,
+	"Stopping.":                                                                                         true,
+	"This keeper stood still and begins anew.":                                                          true,
+	"The keeper's host was suspended; its requests are discarded.":                                      true,
+	"A server's record cannot be used.":                                                                 true,
+	"Changed settings were refused; the earlier ones stay in force.":                                    true,
 }
 
 const maxLineBytes = 1 << 20
