Manifests are read as large and with the numbers that JSON allows

Cause: records were bounded by 1 MiB whatever they hold, and whole numbers and weights were decoded into Go integers.

Change: manifests may have 12 MiB, weights fractions, and other numbers a point or an exponent if they are whole.

--- a/internal/plat/record/record.go
+++ b/internal/plat/record/record.go
@@ -39,9 +39,12 @@
 )
 
 // Decode decodes a record into a value.
-func Decode(value []byte, into any) error {
-	if len(value) > maxBytes {
-		return errors.Newf("the record has %d bytes, more than %d", len(value), maxBytes)
+func Decode(value []byte, into any) error { return DecodeLong(value, maxBytes, into) }
+
+// DecodeLong is like Decode for a record of at most limit bytes.
+func DecodeLong(value []byte, limit int, into any) error {
+	if len(value) > limit {
+		return errors.Newf("the record has %d bytes, more than %d", len(value), limit)
 	}
 	if depth(value) > maxDepth {
 		return errors.Newf("the record is nested more than %d levels deep", maxDepth)
@@ -88,6 +91,25 @@
 	return nil
 }
 
+// Weight is a share relative to others, 0 or more. In JSON it may have a fraction.
+type Weight float64
+
+// UnmarshalJSON implements json.Unmarshaler. A null leaves the weight as it is.
+func (w *Weight) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		return nil
+	}
+	n, err := number(text)
+	if err != nil {
+		return err
+	}
+	if n < 0 || n > maxWhole {
+		return errors.Newf("%.40s is no weight from 0 to 2^53", text)
+	}
+	*w = Weight(n)
+	return nil
+}
+
 // Millis is a time of 0 to 30 days in milliseconds, in JSON with an optional fraction, which is
 // cut off.
 type Millis clock.Millis
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -39,8 +39,8 @@
 // Share is a service that gets a weighted share of a route's requests.
 type Share struct {
 	Service string
-	// Weight is relative to the other shares of the route, at least 1.
-	Weight int
+	// Weight is relative to the other shares of the route.
+	Weight float64
 }
 
 // Route is the services, time limits and other rules for requests of one host name
@@ -208,13 +208,13 @@
 // PickService chooses a service of the route by weight. The random number is in
 // [0, 1); the same number always selects the same service.
 func (r Route) PickService(random float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		total += s.Weight
 	}
-	remaining := random * float64(total)
+	remaining := random * total
 	for _, s := range r.Shares {
-		remaining -= float64(s.Weight)
+		remaining -= s.Weight
 		if remaining < 0 {
 			return s.Service
 		}
