Log lines written during and after the end of a process are dropped

Cause: the log queue was closed while goroutines of the host still logged.

Change: the queue knows that it is closed. Later lines are dropped and counted, and those queued before are written.

--- a/internal/base/logs/limited_test.go
+++ b/internal/base/logs/limited_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -126,3 +127,28 @@
 	close(out.unblocked)
 	c.Assert(q.Dropped(), qt.Equals, int64(0))
 }
+
+// Goroutines of a host still log while its process ends.
+func TestWritesDuringAndAfterCloseAreDropped(t *testing.T) {
+	c := qt.New(t)
+	out := &syncBuffer{}
+	q := logs.NewQueue(out)
+	const writers, lines = 16, 500
+	var all sync.WaitGroup
+	for range writers {
+		all.Go(func() {
+			for range lines {
+				_, err := q.Write([]byte("line\n"))
+				c.Check(err, qt.IsNil)
+			}
+		})
+	}
+	time.Sleep(time.Millisecond)
+	q.Close(clock.System(), 10*clock.Second)
+	all.Wait()
+	_, err := q.Write([]byte("late\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(q.Dropped() > 0, qt.IsTrue)
+	c.Assert(int64(strings.Count(out.String(), "line\n"))+q.Dropped(), qt.Equals, int64(writers*lines+1))
+	c.Assert(strings.Contains(out.String(), "late"), qt.IsFalse)
+}
--- a/internal/base/logs/queue.go
+++ b/internal/base/logs/queue.go
@@ -24,7 +24,10 @@
 	// total counts all dropped lines, including those whose write failed.
 	total atomic.Int64
 	done  chan struct{}
-	close sync.Once
+	// mu guards closed and the closing of lines. Writers share it, so that they wait for
+	// Close only.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewQueue returns a Queue that writes to out, and starts its goroutine.
@@ -34,17 +37,30 @@
 	return q
 }
 
-// Write queues a whole line or drops it. It never blocks and never fails.
+// Write queues a whole line or drops it, as it does after Close. It never blocks and never
+// fails.
 func (q *Queue) Write(line []byte) (int, error) {
-	select {
-	case q.lines <- append([]byte(nil), line...):
-	default:
+	if !q.queue(append([]byte(nil), line...)) {
 		q.dropped.Add(1)
 		q.total.Add(1)
 	}
 	return len(line), nil
 }
 
+func (q *Queue) queue(line []byte) bool {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		return false
+	}
+	select {
+	case q.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 // Dropped returns the number of lines dropped so far.
 func (q *Queue) Dropped() int64 { return q.total.Load() }
 
@@ -61,10 +77,15 @@
 	}
 }
 
-// Close writes the queued lines, for at most wait milliseconds. Write must not
-// be called afterwards.
+// Close writes the queued lines, for at most wait milliseconds. Goroutines may go on to
+// write; their lines are dropped and counted.
 func (q *Queue) Close(c clock.Clock, wait clock.Millis) {
-	q.close.Do(func() { close(q.lines) })
+	q.mu.Lock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+	q.mu.Unlock()
 	select {
 	case <-q.done:
 	case <-c.After(wait):
