Long request bodies share a part of the host's memory

Cause: nothing bounded the sum of bodies, and each was held twice.

Change: bodies are read once, and those of over 64 KiB share 0.3 of the host's memory. Small requests do not wait. A body has to arrive at 64 KiB/s from its beginning on.

TestLongBodiesShareTheMemoryForThem, TestRefusalForMemoryHasRetryAfter and TestTricklingBodyReleasesItsMemory fail without the bound or the rate.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -430,7 +430,7 @@
 // stays open.
 func (o *Origin) perform(c net.Conn, r *http.Request, behavior Behavior) bool {
 	id := r.Header.Get(o.Fields.RequestID)
-	if open, ok := o.performStream(c, r, behavior); ok {
+	if open, ok := o.performOdd(c, r, behavior); ok {
 		return open
 	}
 	if write, ok := strayResponses[behavior]; ok {
@@ -447,19 +447,10 @@
 		return false
 	case Moved:
 		return o.writePlain(c, 421, id, "moved", "")
-	case Unstamped:
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n%s: %s\r\n\r\nbare", o.Fields.RequestID, id)
-		return err == nil
-	case Unnamed:
-		return writeUnnamed(c, 200, "bare")
 	case Reset:
 		return reset(c)
 	case Silent:
 		return awaitClose(c)
-	case LongEvent:
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s%s",
-			o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, chunkedBody, chunk("data: "+strings.Repeat("x", LongEventBytes)))
-		return awaitClose(c)
 	case Unframed:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n\r\nunframed from %s", o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, o.ID)
 		return false
@@ -472,9 +463,9 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
-// performStream performs the behaviors that send bytes without end or an odd stream. It
-// reports whether the connection stays open, and whether the behavior is one of them.
-func (o *Origin) performStream(c net.Conn, r *http.Request, behavior Behavior) (open, ok bool) {
+// performOdd performs the behaviors that send bytes without end, an odd stream or a response
+// that does not identify itself. It reports whether the connection stays open, and whether the behavior is one of them.
+func (o *Origin) performOdd(c net.Conn, r *http.Request, behavior Behavior) (open, ok bool) {
 	id := r.Header.Get(o.Fields.RequestID)
 	if e, ok := endlessResponses[behavior]; ok {
 		return o.writeEndless(c, id, e), true
@@ -485,6 +476,15 @@
 	switch behavior {
 	case LengthStream, LengthStreamAtOnce, CutLengthStream:
 		return o.writeLengthStream(c, r, behavior), true
+	case LongEvent:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: stamp-%s\r\n%s%s",
+			o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID, chunkedBody, chunk("data: "+strings.Repeat("x", LongEventBytes)))
+		return awaitClose(c), true
+	case Unstamped:
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n%s: %s\r\n\r\nbare", o.Fields.RequestID, id)
+		return err == nil, true
+	case Unnamed:
+		return writeUnnamed(c, 200, "bare"), true
 	}
 	if half, ok := halfStreams[behavior]; ok {
 		return o.writeHalf(c, id, half), true
--- a/internal/serve/httpd/conn.go
+++ b/internal/serve/httpd/conn.go
@@ -84,17 +84,18 @@
 		}
 		w := &ResponseWriter{conn: c, close: c.server.stopping.Load()}
 		if refusal != nil {
-			c.refuse(w, refusal)
+			c.refuse(w, refusal, limits)
 			return
 		}
 		w.close = w.close || r.close
 		w.noBody, w.http10 = r.Method == fasthttp.MethodHead, r.http10
 		watchResult = c.handle(r, w)
+		r.release()
 		if w.begun && !w.done && !w.broken {
 			w.Abort()
 		}
 		if w.broken || w.close || !w.done {
-			c.linger(w, watchResult)
+			c.linger(w, watchResult, lingerTime)
 			return
 		}
 		if !c.setState(stateIdle) {
@@ -158,14 +159,14 @@
 // caller could lose the response.
 const lingerTime = 500 * clock.Millis(1)
 
-func (c *conn) linger(w *ResponseWriter, watchResult chan error) {
+func (c *conn) linger(w *ResponseWriter, watchResult chan error, wait clock.Millis) {
 	if w.broken {
 		return
 	}
 	if half, ok := c.net.(*net.TCPConn); ok && half.CloseWrite() != nil {
 		return
 	}
-	if c.deadline(lingerTime) != nil {
+	if c.deadline(wait) != nil {
 		return
 	}
 	if watchResult != nil && <-watchResult != nil {
@@ -178,12 +179,17 @@
 	}
 }
 
-func (c *conn) refuse(w *ResponseWriter, refusal *refuse.Refusal) {
+func (c *conn) refuse(w *ResponseWriter, refusal *refuse.Refusal, l Limits) {
 	c.server.increment(meter.BadRequests, meter.Label("reason", string(refusal.Reason)))
 	if c.server.Refused != nil {
 		c.server.Refused(refusal)
 	}
 	w.close = true
 	w.Refuse(refusal)
-	c.linger(w, nil)
+	wait := lingerTime
+	if refusal.Reason == refuse.ReasonTooManyBodies {
+		// Many callers read no response before they have sent the whole body.
+		wait = l.HeaderTime
+	}
+	c.linger(w, nil, wait)
 }
--- a/internal/serve/httpd/httpd.go
+++ b/internal/serve/httpd/httpd.go
@@ -91,15 +91,21 @@
 	// Refused is called for each malformed request, which Handle never sees. It
 	// may be nil.
 	Refused func(*refuse.Refusal)
-	Log     *logs.Limited
-	Count   *count.Set
+	// MaxBodies is the memory for the bodies of over 64 KiB that are read or handled at a
+	// time, in bytes; 0 means 64 MiB.
+	MaxBodies int64
+	Log       *logs.Limited
+	Count     *count.Set
 
 	listener net.Listener
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]bool
-	serving  sync.WaitGroup
-	open     atomic.Int64
+	// bodies is nil until bodyMemory is called.
+	bodies        *bodies
+	prepareBodies sync.Once
+	serving       sync.WaitGroup
+	open          atomic.Int64
 }
 
 // keepAlive detects dead connections of callers.
--- a/internal/serve/httpd/httpd_test.go
+++ b/internal/serve/httpd/httpd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -218,3 +219,157 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(strings.HasSuffix(string(text), "\r\n\r\nonetwothree"), qt.IsTrue)
 }
+
+const longBody = 256 << 10
+
+// startWithMemory starts a server with memory for some long bodies whose handler waits until
+// the test ends it.
+func startWithMemory(c *qt.C, bodies int64) (s *httpd.Server, handled *atomic.Int64, end func()) {
+	handled = &atomic.Int64{}
+	ended := make(chan struct{})
+	s = &httpd.Server{
+		Address: "127.0.0.1:0", Clock: clock.System(), MaxBodies: bodies * longBody,
+		Handle: func(_ context.Context, r *httpd.Request, w *httpd.ResponseWriter) {
+			if len(r.Body) == longBody {
+				handled.Add(1)
+				<-ended
+			}
+			w.Whole(200, nil, nil)
+		},
+		Limits: func() httpd.Limits { return httpd.Limits{} },
+		Log:    logs.Limit(logs.Discard(), clock.System(), nil),
+	}
+	c.Assert(s.Start(), qt.IsNil)
+	end = sync.OnceFunc(func() { close(ended) })
+	c.Cleanup(func() { end(); _ = s.Close() })
+	return s, handled, end
+}
+
+// post sends a request and returns the status of its response, 0 if there is none.
+func post(c *qt.C, s *httpd.Server, framing, body string) int {
+	response, err := http.ReadResponse(bufio.NewReader(sendOnly(c, s, framing, body)), &http.Request{Method: "POST"})
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close() // the connection is not used again
+	return response.StatusCode
+}
+
+// sendOnly sends a request and reads no response. A refusal may cut the request off.
+func sendOnly(c *qt.C, s *httpd.Server, framing, body string) net.Conn {
+	conn := dial(c, s)
+	go func() { _, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n"+body) }()
+	return conn
+}
+
+// A burst of long requests takes no more than the memory for bodies, and small requests do not
+// wait behind them.
+func TestLongBodiesShareTheMemoryForThem(t *testing.T) {
+	framings := map[string]string{
+		fmt.Sprintf("Content-Length: %d", longBody): strings.Repeat("x", longBody),
+		"Transfer-Encoding: chunked":                fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", longBody, strings.Repeat("x", longBody)),
+	}
+	for framing, body := range framings {
+		t.Run(framing, func(t *testing.T) {
+			const fit, burst = 4, 12
+			c := qt.New(t)
+			s, handled, end := startWithMemory(c, fit)
+			statuses := make(chan int, burst)
+			for range burst {
+				go func() { statuses <- post(c, s, framing, body) }()
+			}
+			for handled.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			began := time.Now()
+			c.Check(post(c, s, "Content-Length: 5", "small"), qt.Equals, 200)
+			c.Check(post(c, s, "Transfer-Encoding: chunked", "5\r\nsmall\r\n0\r\n\r\n"), qt.Equals, 200)
+			c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+			for range burst - fit {
+				select {
+				case status := <-statuses:
+					c.Check(status, qt.Equals, 503)
+				case <-time.After(3 * time.Second):
+					c.Fatalf("%d bodies are held", handled.Load())
+				}
+			}
+			c.Check(handled.Load() <= fit, qt.IsTrue, qt.Commentf("%d bodies are held", handled.Load()))
+			end()
+			c.Check(post(c, s, framing, body), qt.Equals, 200)
+		})
+	}
+}
+
+func TestRefusalForMemoryHasRetryAfter(t *testing.T) {
+	c := qt.New(t)
+	s, handled, _ := startWithMemory(c, 1)
+	framing, body := fmt.Sprintf("Content-Length: %d", longBody), strings.Repeat("x", longBody)
+	sendOnly(c, s, framing, body)
+	for handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The caller sends slowly, and reads when it has sent all.
+	conn := dial(c, s)
+	_, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	for part := range 20 {
+		_, err := io.WriteString(conn, body[part*longBody/20:(part+1)*longBody/20])
+		c.Assert(err, qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"})
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	c.Check(response.StatusCode, qt.Equals, 503)
+	c.Check(response.Header.Get("Retry-After"), qt.Equals, "2")
+	text, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(text), qt.Contains, `"Ran":"No"`)
+}
+
+// A caller that sends a byte now and then would hold the memory for a long body until the time
+// for the whole body is over.
+func TestTricklingBodyReleasesItsMemory(t *testing.T) {
+	c := qt.New(t)
+	s, handled, _ := startWithMemory(c, 1)
+	s.Limits = func() httpd.Limits { return httpd.Limits{HeaderTime: 200} }
+	framing, body := fmt.Sprintf("Content-Length: %d", longBody), strings.Repeat("x", longBody)
+	slow := dial(c, s)
+	_, err := io.WriteString(slow, "POST /x HTTP/1.1\r\nHost: h\r\n"+framing+"\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			if _, err := slow.Write([]byte("x")); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	sendOnly(c, s, framing, body)
+	for began := time.Now(); handled.Load() == 0; time.Sleep(time.Millisecond) {
+		c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	c.Check(response.StatusCode, qt.Equals, 408)
+}
+
+func TestChunkedBodiesKeepTheConnection(t *testing.T) {
+	c := qt.New(t)
+	s, _ := start(c, echo, httpd.Limits{BodyBytes: 100_000})
+	one := "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("y", 70_000)
+	c.Check(statuses(c, s, one+"3\r\nabc\r\n0\r\n\r\n"+one+"0\r\nX-Trailer: y\r\n\r\n"+one+fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)),
+		qt.DeepEquals, []int{200, 200, 200})
+	tooLong := strings.Repeat("y", 100_001)
+	c.Check(statuses(c, s, one+fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(tooLong), tooLong)), qt.DeepEquals, []int{413})
+	c.Check(statuses(c, s, one+"zz\r\n"), qt.DeepEquals, []int{400})
+}
--- a/internal/serve/httpd/read.go
+++ b/internal/serve/httpd/read.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/serve/refuse"
 	"siskinsaddle/internal/serve/wire"
 )
@@ -28,6 +27,9 @@
 
 	close  bool
 	http10 bool
+	// held is the number of bytes that are reserved for the body in bodies.
+	held   int64
+	bodies *bodies
 }
 
 // Header returns the first field of that name, or "" if there is none.
@@ -75,18 +77,12 @@
 	if refusal := checkFraming(&q.Header); refusal != nil {
 		return nil, refusal, nil
 	}
-	if q.Header.ContentLength() > l.BodyBytes {
-		return nil, refuse.New(refuse.ReasonBodyTooLarge), nil
-	}
-	if q.MayContinue() {
-		if _, err := c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
-			return nil, nil, err
-		}
-	}
-	if refusal, err := c.readBody(q, l); refusal != nil || err != nil {
+	r := newRequest(q)
+	if refusal, err := c.readBody(q, l, r); refusal != nil || err != nil {
+		r.release()
 		return nil, refusal, err
 	}
-	return newRequest(q), nil, nil
+	return r, nil, nil
 }
 
 // readHeader reads the header. The read buffer grows once, to the limit.
@@ -112,31 +108,6 @@
 	}
 }
 
-// minBodyRate is the minimum rate at which a body must arrive, in bytes per second,
-// after an allowance of Limits.HeaderTime. A chunked body, whose length is unknown,
-// must arrive within HeaderTime.
-const minBodyRate = 64 << 10
-
-func (c *conn) readBody(q *fasthttp.Request, l Limits) (*refuse.Refusal, error) {
-	expected := max(q.Header.ContentLength(), 0)
-	if err := c.deadline(l.HeaderTime + clock.Millis(expected)*clock.Second/minBodyRate); err != nil {
-		return nil, err
-	}
-	err := q.ContinueReadBody(c.reader, l.BodyBytes, false)
-	switch {
-	case err == nil:
-		return nil, nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return refuse.New(refuse.ReasonBodyTooLarge), nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuse.New(refuse.ReasonSlowSender), nil
-	case isConnError(err):
-		return nil, errDisconnected
-	default:
-		return refuse.New(refuse.ReasonBadRequest).WithText("the body cannot be read"), nil
-	}
-}
-
 // isConnError reports whether err means that the connection ended, as opposed to a
 // malformed request.
 func isConnError(err error) bool {
@@ -197,7 +168,6 @@
 		Host:    string(q.Header.Host()),
 		Path:    string(q.Header.RequestURI()),
 		Headers: make([]wire.Header, 0, q.Header.Len()),
-		Body:    append([]byte(nil), q.Body()...),
 		close:   q.Header.ConnectionClose(),
 		http10:  !q.Header.IsHTTP11(),
 	}
--- a/internal/serve/proxyd/proxyd.go
+++ b/internal/serve/proxyd/proxyd.go
@@ -45,6 +45,8 @@
 	MetricsAddress string
 	// StopTime is the maximum duration of Stop, in milliseconds.
 	StopTime clock.Millis
+	// MaxBodies is the memory for long request bodies, in bytes; 0 means 64 MiB.
+	MaxBodies int64
 	// MaxReadyAge is the maximum age of the manifest's confirmation with which the
 	// host is ready, in milliseconds.
 	MaxReadyAge clock.Millis
@@ -114,6 +116,9 @@
 		Clock:   h.Clock,
 		Handle:  h.Proxy.Handle,
 		Limits:  h.limits,
+
+		MaxBodies: h.Settings.MaxBodies,
+
 		Refused: func(r *refuse.Refusal) { h.Log.Info("Refused a bad request.", "reason", r.Reason, "text", r.Text) },
 		Log:     h.Log,
 		Count:   h.Count,
--- a/internal/serve/refuse/refuse.go
+++ b/internal/serve/refuse/refuse.go
@@ -43,6 +43,7 @@
 	ReasonHeaderTooLarge    Reason = "HeaderTooLarge"
 	ReasonSlowSender        Reason = "SlowSender"
 	ReasonTooManyOpen       Reason = "TooManyOpen"
+	ReasonTooManyBodies     Reason = "TooManyBodies"
 	ReasonNotReady          Reason = "NotReady"
 	ReasonStopping          Reason = "Stopping"
 	ReasonHostStopped       Reason = "HostStopped"
@@ -110,6 +111,7 @@
 	ReasonHeaderTooLarge:    {431, RanNo, "the header is too large"},
 	ReasonSlowSender:        {408, RanNo, "the request was not sent in time"},
 	ReasonTooManyOpen:       {429, RanNo, "the workspace has too many open requests"},
+	ReasonTooManyBodies:     {503, RanNo, "this host has no memory for the body beside those of other requests"},
 	ReasonNotReady:          {503, RanNo, "this host has no manifest that is known to be in force"},
 	ReasonStopping:          {503, RanNo, "this host is stopping"},
 	ReasonHostStopped:       {502, RanUnknown, "this host stopped before the backend server answered"},
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -66,6 +66,9 @@
 	// bufferShare is the share of the host's memory for responses that are read whole.
 	// The garbage of growing buffers takes as much again.
 	bufferShare = 0.12
+	// bodyShare is the share of the host's memory for request bodies of over 64 KiB. With
+	// bufferShare and what a host needs without them it fits into memoryShare.
+	bodyShare = 0.3
 	// keyMargin is subtracted from the platform's revocation bound to get the
 	// maximum age of a manifest confirmation under which keys are accepted, in
 	// milliseconds. It covers the time a request takes to reach a server, also
@@ -188,6 +191,7 @@
 		ReadyAddress:   s.ReadyAddress,
 		MetricsAddress: fmt.Sprintf("%s:%d", s.IP, metricsPort),
 		StopTime:       s.Bounds.Stop,
+		MaxBodies:      int64(float64(s.MemoryBytes) * bodyShare),
 		MaxReadyAge:    s.Bounds.Revoke - keyMargin - readyMargin,
 	}
 }
