A reader that starts in an outage keeps servers with expired records

Found by reading: the store is down, records expire, and the host that read the store for its domain is gone. The next reader dropped all those servers at once when the store was back, and so did the hosts that follow it, though live servers write again within 2 s.

Cause: only the follower of the servers recorded an outage, which begins after the first read of the manifest. Change: the second failure of that read records it too.

TestReaderThatStartsInAnOutageKeepsServersWithExpiredRecords failed before (one server left of two when the store was back).

--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -112,16 +112,14 @@
 		View: func() watch.View {
 			return watch.View{Manifest: manifest, Servers: r.serverList(), ServersKnown: !r.serversUnknown.Load()}
 		},
-		Age:    func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
-		Client: &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000},
-
+		Age:             func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
+		Client:          &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000},
 		ServersIdentify: true,
-
-		Placer: place.New(place.Defaults()),
-		Hosts:  func() int { return 1 },
-		Guard:  &guard.Guard{Self: "host", Clock: clock.System(), Log: l, Count: r.count},
-		Log:    l,
-		Count:  r.count,
+		Placer:          place.New(place.Defaults()),
+		Hosts:           func() int { return 1 },
+		Guard:           &guard.Guard{Self: "host", Clock: clock.System(), Log: l, Count: r.count},
+		Log:             l,
+		Count:           r.count,
 	}
 	r.forwarder.Guard.Register()
 	r.forwarder.Apply(proxy.Limits{MaxKeyAge: 4_000, RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10_000})
--- a/internal/serve/proxyd/proxyd.go
+++ b/internal/serve/proxyd/proxyd.go
@@ -112,16 +112,14 @@
 	}
 	h.Watcher.Changed = func(v watch.View) { h.Proxy.SetServers(v.Servers) }
 	h.httpServer = &httpd.Server{
-		Address: h.Settings.CallerAddress,
-		Clock:   h.Clock,
-		Handle:  h.Proxy.Handle,
-		Limits:  h.limits,
-
+		Address:   h.Settings.CallerAddress,
+		Clock:     h.Clock,
+		Handle:    h.Proxy.Handle,
+		Limits:    h.limits,
 		MaxBodies: h.Settings.MaxBodies,
-
-		Refused: func(r *refuse.Refusal) { h.Log.Info("Refused a bad request.", "reason", r.Reason, "text", r.Text) },
-		Log:     h.Log,
-		Count:   h.Count,
+		Refused:   func(r *refuse.Refusal) { h.Log.Info("Refused a bad request.", "reason", r.Reason, "text", r.Text) },
+		Log:       h.Log,
+		Count:     h.Count,
 	}
 	if err := h.httpServer.Start(); err != nil {
 		return err
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -382,15 +382,21 @@
 
 // confirmFirst retries until a read succeeds or the context ends. During a store
 // outage, these reads alone detect its end. A read that does not confirm the manifest of a
-// restored store suffices, so that a starting host gets to know the servers.
+// restored store suffices, so that a starting host gets to know the servers. From the second
+// failure on the servers that another host has told of may lose their records.
 func (w *Watcher) confirmFirst(ctx context.Context) (rows.Revision, bool) {
-	for first := true; ctx.Err() == nil; first = false {
+	for failures := 1; ctx.Err() == nil; failures++ {
 		after, err := w.confirm(ctx)
 		if err == nil || errors.Is(err, errUnsettled) || errors.Is(err, errUnreadable) {
 			return after, true
 		}
-		if first && ctx.Err() == nil {
+		if ctx.Err() != nil {
+			break
+		}
+		if failures == 1 {
 			w.Log.Warn("Reading the manifest failed; retrying.", "err", err)
+		} else if !errors.Is(err, errStale) {
+			w.recordFailure(failures)
 		}
 		w.pause(ctx, w.retryWait())
 	}
--- a/internal/share/watch/watch_test.go
+++ b/internal/share/watch/watch_test.go
@@ -369,3 +369,36 @@
 		c.Check(all.View().Manifest.Version(), qt.Equals, int64(3))
 	}
 }
+
+// A host begins to read the store while it is down, because the host that read it for others
+// has gone. Records that expired meanwhile are back soon after the outage.
+func TestReaderThatStartsInAnOutageKeepsServersWithExpiredRecords(t *testing.T) {
+	c := qt.New(t)
+	store := memdb.New(clock.System())
+	store.Put("op", "manifest", []byte("1"))
+	store.Put("servers", "a", []byte("10.0.0.1:1"))
+	store.Put("servers", "b", []byte("10.0.0.2:1"))
+	gone, next := newWatcher(store), newWatcher(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); gone.Run(ctx) }()
+	eventually(func() bool { return len(gone.View().Servers) == 2 })
+	cancel()
+	<-done
+	next.Adopt(gone.View(), 1, clock.System().Boot())
+	c.Assert(next.View().Servers, qt.HasLen, 2)
+
+	store.SetFaults(memdb.Faults{Down: true})
+	run(c, next)
+	eventually(func() bool { return next.View().StoreDown })
+	store.Delete("servers", "b")
+	since := clock.System().Boot()
+	store.SetFaults(memdb.Faults{})
+	eventually(func() bool {
+		now := clock.System().Boot()
+		return now-next.Age(now) > since && !next.View().StoreDown
+	})
+	c.Assert(next.View().Servers, qt.HasLen, 2)
+	eventually(func() bool { return len(next.View().Servers) == 1 })
+	c.Assert(clock.System().Boot()-since < 3_000, qt.IsTrue)
+}
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -238,17 +238,15 @@
 		ConfirmEvery: clock.Millis(confirmShare * float64(s.Bounds.Apply)),
 	}
 	p := &proxy.Proxy{
-		Fields: platform.Headers,
-		Clock:  c,
-		View:   w.View,
-		Age:    w.Age,
-		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout},
-
+		Fields:          platform.Headers,
+		Clock:           c,
+		View:            w.View,
+		Age:             w.Age,
+		Client:          &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout},
 		ServersIdentify: true,
-
-		Placer: place.New(place.Defaults()),
-		Log:    l.WithPrefix("pass"),
-		Count:  counters,
+		Placer:          place.New(place.Defaults()),
+		Log:             l.WithPrefix("pass"),
+		Count:           counters,
 	}
 	p.Apply(proxyLimits(s))
 	return p, w
