The soak plays odd answers to requests that resume a stream

While an engine is faulty, all engines answer requests that resume a stream with one of eight behaviors: an error, an error with a success status, nothing, no events, all events from the first on.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -4,7 +4,7 @@
 // the connection or breaks HTTP framing. It counts how often each request ran.
 //
 // The behavior for a request is chosen in this order: Moved, if the request names
-// another server; the script that is set with SetScript; the next behavior in the
+// another server; what SetResumeBehavior sets, if the request resumes a stream; the script that is set with SetScript; the next behavior in the
 // queue that Enqueue fills; the default that is set with SetDefault.
 //
 // # Usage
@@ -164,6 +164,7 @@
 	mu              sync.Mutex
 	queue           []Behavior
 	defaultBehavior Behavior
+	resumeBehavior  Behavior
 	script          func() (Behavior, bool)
 	runCounts       map[string]int
 	requests        []*http.Request
@@ -229,6 +230,14 @@
 	o.defaultBehavior = b
 }
 
+// SetResumeBehavior sets the behavior for requests that resume a stream, "" for that of all
+// others.
+func (o *Origin) SetResumeBehavior(b Behavior) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resumeBehavior = b
+}
+
 // SetRateLimit sets the rate limit that responses name, "" for none.
 func (o *Origin) SetRateLimit(text string) {
 	o.mu.Lock()
@@ -405,6 +414,9 @@
 			behavior = b
 		}
 	}
+	if o.resumeBehavior != "" && r.Header.Get(o.Fields.LastEvent) != "" {
+		behavior = o.resumeBehavior
+	}
 	if o.holdOff != "" {
 		behavior = NotRun
 	}
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -193,7 +193,12 @@
 var faultyStreams = []origin.Behavior{
 	origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent, origin.CutStream, origin.UnframedStream,
 	origin.LengthStream, origin.LengthStreamAtOnce, origin.CutLengthStream, origin.LongEvent,
-	origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents, origin.StartOver,
+}
+
+// resumeActs are the ways in which engines answer a request that resumes a stream of a faulty
+// one.
+var resumeActs = []origin.Behavior{
+	origin.Answer, origin.Fail, origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents, origin.StartOver,
 }
 
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
@@ -208,7 +213,20 @@
 	s.SetScript(func() (origin.Behavior, bool) {
 		return acts[random.IntN(len(acts))], random.Float64() < faultyShare
 	})
-	return func() { s.SetScript(func() (origin.Behavior, bool) { return origin.Answer, false }) }
+	setResume := func(b origin.Behavior) {
+		hn.mu.Lock()
+		defer hn.mu.Unlock()
+		for _, other := range hn.servers {
+			other.SetResumeBehavior(b)
+		}
+	}
+	if s.Stream {
+		setResume(resumeActs[random.IntN(len(resumeActs))])
+	}
+	return func() {
+		s.SetScript(func() (origin.Behavior, bool) { return origin.Answer, false })
+		setResume("")
+	}
 }
 
 // replaceServer adds a server and marks another one as leaving. The store drops the
