--- a/internal/serve/proxy/buffers.go
+++ b/internal/serve/proxy/buffers.go
@@ -19,9 +19,9 @@
 var errTooLong = errors.New("the response is too long to be buffered")
 
 // buffers bounds the memory of the responses that are read whole before they are
-// forwarded, and of long events of streams. It is made for servers in trouble that send without end to many requests at
-// a time. A response may take as much as all of them leave free: a single one can be
-// long, and the more long ones there are, the earlier they end.
+// forwarded, and of long events of streams. It is made for servers in trouble that send
+// without end to many requests at a time. A response may take as much as all of them leave
+// free: a single one can be long, and the more long ones there are, the earlier they end.
 type buffers struct {
 	limit atomic.Int64
 	used  atomic.Int64
