A server's notices count in responses without its stamp too

The response names the request, so it is the server's, and what it says of itself holds as in any broken one.

Change: the stamp is checked after notices and limits are recorded.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -128,15 +128,15 @@
 	if !response.Attributed && j.promisesNotRun(response) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	}
-	if j.lacksStamp(response) {
-		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeUnstamped}
-	}
 	if response.Status == fasthttp.StatusMisdirectedRequest {
 		// The server at this address is not the one in the Server field.
 		return result{outcome: place.OutcomeMoved, sent: retry.SentNothing, cause: "Moved"}
 	}
 	j.observeNotices(choice, response)
 	named := j.observeLimit(choice, response, sentAt)
+	if j.lacksStamp(response) {
+		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeUnstamped}
+	}
 	got := j.forward(response, firstEventBy)
 	if !named && got.whole() {
 		j.observeNoLimit(choice, sentAt)
