Responses are held to the grammar of HTTP before anything reads them

What callers saw: a server's answer with the status 000 reached them as a 200. An answer with a blank in the name of a field reached them with that field, or, where the field was Content-Length, with a body framed in another way than the server meant.

Cause: what counts as an answer was left to fasthttp's parser, which is lenient. It reads the status 000 and takes 0 for "not set", so 200; it forwards names with blanks, joins folded lines, skips empty lines before the status line, reads HTTP/0.9, 1.2 and 2.0, takes a Transfer-Encoding in HTTP/1.0 for a body without a length, prefers chunks to a Content-Length beside them, passes over interim responses whatever they hold, and accepts blanks, control bytes and open quotes behind the size of a chunk, and names with blanks in a trailer.

Control bytes in names, headers and chunks that break off, and early answers that are reset were errors already, except that nothing named the server; their tests are kept.

The fix: base/reply checks the bytes of each connection by the grammar of RFC 9110 and 9112, in pieces of any size, and the read of the first byte that is no response fails. So the parser behind it never sees such a byte, whichever it is. wire uses it for backend servers, status checks, cache queries and the platform's store. A broken answer then takes the path of a connection that broke: 502 for a request that may not run twice, another server for one that may, a cut for a stream; the connection is closed. Each is counted by server and fault (siskinsaddle_broken_responses_total) and logged once with the request's id.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -22,6 +22,7 @@
 	Refused         = "siskinsaddle_refused_total"
 	Resends         = "siskinsaddle_resends_total"
 	Attempts        = "siskinsaddle_attempts_total"
+	BrokenResponses = "siskinsaddle_broken_responses_total"
 	BadRequests     = "siskinsaddle_bad_requests_total"
 	Panics          = "siskinsaddle_panics_total"
 	LogLinesDropped = "siskinsaddle_log_lines_left_out_total"
@@ -71,6 +72,7 @@
 	{Refused, "Counter", "requests", "reason, route", "refusals of this host, by reason"},
 	{Resends, "Counter", "attempts", "rule, cause", "further attempts after one that failed"},
 	{Attempts, "Counter", "attempts", "outcome, server", "attempts by how they ended at the server"},
+	{BrokenResponses, "Counter", "responses", "fault, server", "responses that break the rules of HTTP, also those to status checks and other queries, by what is wrong with them: StatusLine, Status, FieldName, FieldValue, LineEnd, Length, Coding, Chunk, CutHeader, CutBody, Unreadable"},
 	{BadRequests, "Counter", "requests", "reason", "requests that could not be read"},
 	{Panics, "Counter", "requests", "", "requests whose handler panicked"},
 	{OddFields, "Counter", "responses", "field", "responses of servers with a field that cannot be read, by field: Leaving, HoldOff"},
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -122,6 +122,17 @@
 	EmptySuccess   Behavior = "EmptySuccess"
 	NoEvents       Behavior = "NoEvents"
 	StartOver      Behavior = "StartOver"
+	// ZeroStatus sends the right answer with the status 000, BlankInName and ControlInName with a
+	// blank or a control byte in the name of a field, and CutHeader only the first half of its
+	// header. MalformedChunk sends half of the events of a stream and then a chunk without a size.
+	ZeroStatus     Behavior = "ZeroStatus"
+	BlankInName    Behavior = "BlankInName"
+	ControlInName  Behavior = "ControlInName"
+	CutHeader      Behavior = "CutHeader"
+	MalformedChunk Behavior = "MalformedChunk"
+	// EarlyCut sends a success without a length and a part of its body before it has read the
+	// request body, and resets the connection.
+	EarlyCut Behavior = "EarlyCut"
 	// crashAtSegment crashes the server inside its first event. SetCrashSegments causes it.
 	crashAtSegment Behavior = "CrashAtSegment"
 )
@@ -383,7 +394,7 @@
 			continue
 		}
 		behavior := o.chooseBehavior(r)
-		if behavior != Early {
+		if behavior != Early && behavior != EarlyCut {
 			var body bytes.Buffer
 			if _, err := body.ReadFrom(r.Body); err != nil {
 				return
@@ -451,6 +462,9 @@
 	if write, ok := extraResponses[behavior]; ok {
 		return o.writeAnswer(c, r, behavior) && write(o, c, id)
 	}
+	if spoil, ok := spoiledAnswers[behavior]; ok {
+		return o.writeAnswer(&spoiledConn{Conn: c, spoil: spoil}, r, behavior)
+	}
 	switch behavior {
 	case Fail, NotRun:
 		return o.writeError(c, id, behavior)
@@ -486,6 +500,9 @@
 		return o.writeOddSuccess(c, id, odd), true
 	}
 	switch behavior {
+	case EarlyCut:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n\r\nhalf", o.Fields.RequestID, id, o.Fields.ServerStamp, o.ID)
+		return reset(c), true
 	case LengthStream, LengthStreamAtOnce, CutLengthStream:
 		return o.writeLengthStream(c, r, behavior), true
 	case LongEvent:
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -25,6 +25,8 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/config"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/plat/disco"
 	"siskinsaddle/internal/plat/object"
 	"siskinsaddle/internal/plat/table"
@@ -90,6 +92,7 @@
 		DialTimeout:     h.Settings.Backend.DialTimeoutMilliseconds,
 		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
+		Faults:          &reply.Faults{Log: logs.Limit(h.Log.WithPrefix("wire"), h.Clock, nil), Count: h.Count},
 	}
 	h.budgets = newBudgets(h.Clock, h.Count, h.Settings.Backend.MaxAttempts)
 	h.manifest = &activeManifest{onChange: h.budgets.setManifest}
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -77,6 +77,7 @@
 	defer cancel()
 	answer, _, err := e.Client.Do(ctx, wire.Request{
 		Address: desired.Address,
+		Server:  desired.Server,
 		Method:  method,
 		Path:    path,
 		Headers: []wire.Header{{Name: "Content-Type", Value: "application/json"}},
--- a/internal/serve/probe/probe.go
+++ b/internal/serve/probe/probe.go
@@ -141,7 +141,7 @@
 	if !t.Engine {
 		return State{}, p.Dial(ctx, t.Address)
 	}
-	answer, _, err := p.Send(ctx, wire.Request{Address: t.Address, Method: "GET", Path: statePath, HeaderTimeout: probeTimeout})
+	answer, _, err := p.Send(ctx, wire.Request{Address: t.Address, Server: t.Name, Method: "GET", Path: statePath, HeaderTimeout: probeTimeout})
 	if err != nil {
 		return State{}, err
 	}
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -102,6 +102,7 @@
 	firstEventBy := sentAt + wait
 	response, sent, err := j.proxy.Client.Do(ctx, wire.Request{
 		Address:          choice.Server.Address,
+		Server:           choice.Server.ID,
 		Method:           r.Method,
 		Path:             r.Path,
 		Host:             r.Host,
@@ -121,10 +122,6 @@
 		return failedResult(err, sent)
 	}
 	defer func() { _ = response.Body.Close() }() // the response is complete or discarded
-	if response.Status < fasthttp.StatusOK {
-		// The connection does not speak HTTP any more.
-		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
-	}
 	if !response.Attributed && j.promisesNotRun(response) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	}
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -19,6 +19,7 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/base/meter"
+	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/fakes/origin"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/grant"
@@ -113,7 +114,7 @@
 			return watch.View{Manifest: manifest, Servers: r.serverList(), ServersKnown: !r.serversUnknown.Load()}
 		},
 		Age:             func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
-		Client:          &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000},
+		Client:          &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000, Faults: &reply.Faults{Log: l, Count: r.count}},
 		ServersIdentify: true,
 		Placer:          place.New(place.Defaults()),
 		Hosts:           func() int { return 1 },
--- a/internal/serve/relay/attempt.go
+++ b/internal/serve/relay/attempt.go
@@ -204,6 +204,7 @@
 	}
 	answer, sent, err := a.stream.relay.Send(a.ctx, wire.Request{
 		Address:          a.grant.Address,
+		Server:           a.grant.Server,
 		Method:           "POST",
 		Path:             job.Path,
 		Headers:          a.headers(),
--- a/internal/serve/wire/conn.go
+++ b/internal/serve/wire/conn.go
@@ -1,9 +1,12 @@
 package wire
 
 import (
+	"cmp"
 	"net"
 	"syscall"
 	"time"
+
+	"siskinsaddle/internal/base/reply"
 )
 
 // maxWriteBytes is the number of bytes written under one deadline.
@@ -12,7 +15,7 @@
 // conn is a connection with a deadline on each read and write. It counts the
 // bytes that the operating system accepted.
 type conn struct {
-	net.Conn
+	*reply.Conn
 	// progressTimeout is the timeout of each read and write.
 	progressTimeout time.Duration
 	// headerTimeout, if not 0, replaces progressTimeout until the header is complete.
@@ -31,17 +34,19 @@
 }
 
 func (c *Client) dial(address string) (net.Conn, error) {
-	tcp, err := net.DialTimeout("tcp", address, orElse(c.DialTimeout, defaultDialTimeout).Duration())
+	checked, err := reply.Dial(address, orElse(c.DialTimeout, defaultDialTimeout).Duration(), c.Faults)
 	if err != nil {
 		return nil, err
 	}
 	progressTimeout := orElse(c.ProgressTimeout, defaultProgressTimeout)
-	return &conn{Conn: tcp, progressTimeout: progressTimeout.Duration()}, nil
+	return &conn{Conn: checked, progressTimeout: progressTimeout.Duration()}, nil
 }
 
 // prepare resets the connection's state for one request, whose response may have
 // maxBytes with its framing.
 func (c *conn) prepare(r Request, maxBytes int) {
+	c.Expect(r.Method)
+	c.Server, c.ID = cmp.Or(r.Server, r.Address), r.ID
 	c.accepted = 0
 	c.used = true
 	c.readable = maxBytes
@@ -108,7 +113,7 @@
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.Conn.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/serve/wire/roundtrip.go
+++ b/internal/serve/wire/roundtrip.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"siskinsaddle/internal/base/reply"
 )
 
 // framingFields lists the header fields that this package sets itself.
@@ -147,8 +149,7 @@
 	case t.request.ID:
 		return true, true
 	case "":
-		// After an interim response that is returned here the connection has no further one.
-		return false, !t.request.RequireID || t.response.StatusCode() < fasthttp.StatusOK
+		return false, !t.request.RequireID
 	}
 	return false, false
 }
@@ -190,7 +191,7 @@
 // finish ends a round trip whose response was read completely. The connection is
 // reused only if it brought nothing but the response and neither side closes it.
 func (t *roundTrip) finish() {
-	reusable := t.reader.Buffered() == 0 && t.passedOver == 0 &&
+	reusable := t.reader.Buffered() == 0 && t.conn.Complete() && t.passedOver == 0 &&
 		!t.response.ConnectionClose() &&
 		t.response.Header.ContentLength() != LengthToClose
 	if t.unwatch() && reusable {
@@ -234,8 +235,15 @@
 	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrStray) {
 		return err
 	}
+	// fasthttp does not return the error of a connection's first read.
+	if fault := t.conn.Fault(); fault != "" {
+		return fmt.Errorf("%w: %w", ErrBroken, &reply.BrokenError{Fault: fault})
+	}
 	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
+		return fmt.Errorf("%w: %w", ErrBroken, io.ErrUnexpectedEOF)
+	}
+	if !errors.As(err, &network) {
+		t.conn.Report(reply.FaultUnreadable)
 	}
 	return fmt.Errorf("%w: %w", ErrBroken, err)
 }
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -54,6 +54,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 )
 
 // Sent is how much of a request can have reached the server.
@@ -96,7 +97,9 @@
 type Request struct {
 	// Address is "IP:port".
 	Address string
-	Method  string
+	// Server names the server in reports of broken responses; empty means Address.
+	Server string
+	Method string
 	// Path is the path with its query.
 	Path string
 	// Host is the Host field; empty means Address.
@@ -180,6 +183,8 @@
 	// chunks of a body may take as many bytes again as the body.
 	MaxHeaderBytes int
 	MaxBodyBytes   int
+	// Faults reports broken responses; it may be nil.
+	Faults *reply.Faults
 
 	mu    sync.Mutex
 	pools map[string]*fasthttp.HostClient
--- a/internal/tools/verbs/front.go
+++ b/internal/tools/verbs/front.go
@@ -16,6 +16,7 @@
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/base/meter"
+	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/plat/rows"
 	"siskinsaddle/internal/policy/grant"
 	"siskinsaddle/internal/policy/place"
@@ -209,9 +210,14 @@
 	return limits
 }
 
+// newFaults returns what reports broken responses.
+func newFaults(l *logs.Limited, counters *count.Set) *reply.Faults {
+	return &reply.Faults{Log: l.WithPrefix("wire"), Count: counters}
+}
+
 // newStore returns the platform's store, which counts and times its calls.
-func newStore(s platform.Settings, c clock.Clock, counters *count.Set) rows.Store {
-	return platform.NewStore(s.StoreAddress).WithObserver(c, func(call rows.Call, took clock.Millis, err error) {
+func newStore(s platform.Settings, c clock.Clock, l *logs.Limited, counters *count.Set) rows.Store {
+	return platform.NewStore(s.StoreAddress, newFaults(l, counters)).WithObserver(c, func(call rows.Call, took clock.Millis, err error) {
 		outcome := "Answered"
 		if err != nil {
 			outcome = "Failed"
@@ -226,7 +232,7 @@
 // routes by.
 func newProxy(s platform.Settings, c clock.Clock, l *logs.Limited, counters *count.Set) (*proxy.Proxy, *watch.Watcher) {
 	w := &watch.Watcher{
-		Store: newStore(s, c, counters),
+		Store: newStore(s, c, l, counters),
 		Clock: c,
 		Source: watch.Source{
 			ManifestRange: platform.ManifestRange,
@@ -242,7 +248,7 @@
 		Clock:           c,
 		View:            w.View,
 		Age:             w.Age,
-		Client:          &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout},
+		Client:          &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Faults: newFaults(l, counters)},
 		ServersIdentify: true,
 		Placer:          place.New(place.Defaults()),
 		Log:             l.WithPrefix("pass"),
@@ -257,7 +263,7 @@
 func newCluster(s platform.Settings, c clock.Clock, l *logs.Limited, plain *log.Logger, counters *count.Set) *proxyd.Cluster {
 	cluster := &proxyd.Cluster{
 		Registry: &member.Registry{
-			Store: newStore(s, c, counters),
+			Store: newStore(s, c, l, counters),
 			Table: hostsTable,
 			Self: member.Member{
 				Name:          s.HostName,
--- a/internal/tools/verbs/site.go
+++ b/internal/tools/verbs/site.go
@@ -112,7 +112,7 @@
 		Clock:  clk,
 		View:   w.View,
 		Age:    w.Age,
-		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout},
+		Client: &wire.Client{DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Faults: newFaults(l, counters)},
 		Placer: place.New(place.Defaults()),
 		Log:    l.WithPrefix("pass"),
 		Count:  counters,
