Responses of the platform's stores and lists are held to the same grammar

What hosts of `serve` took for answers: a list of machines with the status 000 was read as a list that is there, also an empty one, which takes all servers out of use. A response of the table service with a broken header and an empty body was read as "the record does not exist" (claims and manifests are such records). `siskinsaddle status` printed the body of a response with the status 000.

These three read with fasthttp's and net/http's clients directly, each lenient in its own way: net/http takes blanks in names, folded lines, lines without CR, control bytes in the reason, chunks beside a Content-Length, and blanks after the size of a chunk.

Errors are those of a store that cannot be reached, or of a write whose outcome is unknown, which callers of the stores handle already. Hosts report these responses like those of servers; one reply.Faults is made for each host.

--- a/internal/base/reply/conn.go
+++ b/internal/base/reply/conn.go
@@ -27,7 +27,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: tcp, Faults: faults, Server: address}, nil
+	return Wrap(tcp, address, faults), nil
+}
+
+// Wrap returns a checked connection on one to the server at an "IP:port".
+func Wrap(c net.Conn, address string, faults *Faults) *Conn {
+	return &Conn{Conn: c, Faults: faults, Server: address}
 }
 
 // Expect prepares for the response to a request that is sent next.
--- a/internal/plat/amazon/amazon_test.go
+++ b/internal/plat/amazon/amazon_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"siskinsaddle/internal/fakes/cloud"
+	"siskinsaddle/internal/fakes/hangup"
 	"siskinsaddle/internal/plat/amazon"
 	"siskinsaddle/internal/plat/disco"
 	"siskinsaddle/internal/plat/object"
@@ -85,13 +86,41 @@
 	c.Assert(errors.Is(err, want), qt.IsTrue, qt.Commentf("%v instead of %v", err, want))
 }
 
+// The empty body of such a response would be that of a record that does not exist.
+func TestBrokenResponseSaysNothingAboutRecords(t *testing.T) {
+	const end = "Content-Length: 2\r\n\r\n{}"
+	for name, text := range map[string]string{
+		"status 000":           "HTTP/1.1 000 OK\r\n" + end,
+		"a blank in a name":    "HTTP/1.1 200 OK\r\nX Note: odd\r\n" + end,
+		"a folded line":        "HTTP/1.1 200 OK\r\nX-Note: odd\r\n folded\r\n" + end,
+		"a line without CR":    "HTTP/1.1 200 OK\n" + end,
+		"a control byte":       "HTTP/1.1 200 O\x01K\r\n" + end,
+		"a length and chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"a chunk with a blank": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\n{}\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &hangup.Server{}
+			c.Assert(s.Start(), qt.IsNil)
+			defer s.Stop()
+			s.SetResponse(text)
+			_, settings := start(c)
+			settings.TableEndpoint = "http://" + s.Address()
+			store := amazon.NewTable(settings)
+			_, err := store.Get(ctx, "K", "n")
+			checkError(c, err, table.ErrUnavailable)
+			checkError(c, store.Put(ctx, table.Record{Kind: "K", Name: "n", Token: "1"}, table.IfAbsent()), table.ErrOutcomeUnknown)
+		})
+	}
+}
+
 func TestRefusedConnectionWritesNothing(t *testing.T) {
 	c := qt.New(t)
 	p, settings := start(c)
 	p.Stop()
 	checkError(c, amazon.NewTable(settings).Put(ctx, table.Record{Kind: "K", Name: "n", Token: "1"}, table.IfAbsent()), table.ErrUnavailable)
 	checkError(c, amazon.NewObjects(settings).Put(ctx, "n", []byte("body")), object.ErrUnavailable)
-	_, err := disco.NewHTTP(p.Address(), 1_000).Read(ctx)
+	_, err := disco.NewHTTP(p.Address(), 1_000, nil).Read(ctx)
 	checkError(c, err, disco.ErrUnavailable)
 }
 
@@ -159,7 +188,7 @@
 
 	entry := disco.Entry{Name: "host-1", Kind: disco.KindHost, FailureDomain: "prairie-a", Address: "127.0.0.1:1", State: disco.StateLive}
 	p.SetEntry(entry)
-	entries, err := disco.NewHTTP(p.Address(), 10_000).Read(ctx)
+	entries, err := disco.NewHTTP(p.Address(), 10_000, nil).Read(ctx)
 	c.Assert(err, qt.IsNil)
 	c.Assert(entries, qt.DeepEquals, []disco.Entry{entry})
 }
--- a/internal/plat/amazon/client.go
+++ b/internal/plat/amazon/client.go
@@ -1,6 +1,8 @@
 package amazon
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 )
 
 const (
@@ -42,10 +45,11 @@
 	closeIdle func()
 }
 
-func newClient(dialTimeout, timeout clock.Millis) *client {
+func newClient(dialTimeout, timeout clock.Millis, faults *reply.Faults) *client {
 	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         checked(dialer.DialContext, faults),
+		DialTLSContext:      checked(dialTLS(dialer, &tls.Config{}), faults),
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxConnections,
 		IdleConnTimeout:     idleTimeout,
@@ -57,6 +61,43 @@
 	}
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checked returns a dialFunc whose connections accept nothing but responses.
+func checked(dial dialFunc, faults *reply.Faults) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return reply.Wrap(c, address, faults), nil
+	}
+}
+
+// dialTLS returns a dialFunc for TLS. The dialer's timeout does not bound the handshake, as in
+// net/http.
+func dialTLS(dialer *net.Dialer, config *tls.Config) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		tcp, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		named := config.Clone()
+		named.ServerName = host
+		c := tls.Client(tcp, named)
+		if err := c.HandshakeContext(ctx); err != nil {
+			_ = tcp.Close()
+			return nil, err
+		}
+		return c, nil
+	}
+}
+
 // Do sends one request. A failure on an open connection also closes the idle
 // ones: the same fault may have broken them all, and each would make another request
 // wait for its timeout.
--- a/internal/plat/amazon/settings.go
+++ b/internal/plat/amazon/settings.go
@@ -35,6 +35,7 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 )
 
 // Settings holds the endpoints, credentials and timeouts of the platform's stores.
@@ -53,6 +54,8 @@
 	// both in milliseconds.
 	DialTimeout clock.Millis
 	Timeout     clock.Millis
+	// Faults reports broken responses; it may be nil.
+	Faults *reply.Faults
 }
 
 func (s Settings) credentials() aws.CredentialsProvider {
@@ -60,5 +63,5 @@
 }
 
 func (s Settings) client() *client {
-	return newClient(s.DialTimeout, s.Timeout)
+	return newClient(s.DialTimeout, s.Timeout, s.Faults)
 }
--- a/internal/plat/disco/disco.go
+++ b/internal/plat/disco/disco.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	l := disco.NewHTTP("127.0.0.1:7300", 500)
+//	l := disco.NewHTTP("127.0.0.1:7300", 500, faults)
 //	entries, err := l.Read(ctx)
 //	servers := disco.Servers(entries, "canvas-llm", "prairie-a")
 package disco
--- a/internal/plat/disco/http.go
+++ b/internal/plat/disco/http.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 )
 
 const (
@@ -24,12 +26,16 @@
 
 // NewHTTP returns the list that the platform serves at http://address/hosts as
 // a JSON array of Entry. Timeout bounds a whole read, in milliseconds; an
-// earlier deadline of the context takes precedence.
-func NewHTTP(address string, timeout clock.Millis) List {
+// earlier deadline of the context takes precedence. Broken responses are
+// reported to faults, which may be nil.
+func NewHTTP(address string, timeout clock.Millis, faults *reply.Faults) List {
 	l := &httpList{
 		url:     "http://" + address + hostsPath,
 		timeout: timeout,
 		client: &fasthttp.Client{
+			Dial: func(address string) (net.Conn, error) {
+				return reply.Dial(address, timeout.Duration(), faults)
+			},
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       maxListBytes,
 		},
--- a/internal/serve/hostd/hostd.go
+++ b/internal/serve/hostd/hostd.go
@@ -25,7 +25,6 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/config"
 	"siskinsaddle/internal/base/count"
-	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/plat/disco"
 	"siskinsaddle/internal/plat/object"
@@ -51,7 +50,9 @@
 	Objects  object.Store
 	Clock    clock.Clock
 	Count    *count.Set
-	Log      *log.Logger
+	// Faults reports broken responses of backend servers; it may be nil.
+	Faults *reply.Faults
+	Log    *log.Logger
 
 	pool      *ants.Pool
 	client    *wire.Client
@@ -92,7 +93,7 @@
 		DialTimeout:     h.Settings.Backend.DialTimeoutMilliseconds,
 		ProgressTimeout: h.Settings.Backend.ProgressTimeoutMilliseconds,
 		MaxBodyBytes:    h.Settings.Backend.MaxAnswerBytes,
-		Faults:          &reply.Faults{Log: logs.Limit(h.Log.WithPrefix("wire"), h.Clock, nil), Count: h.Count},
+		Faults:          h.Faults,
 	}
 	h.budgets = newBudgets(h.Clock, h.Count, h.Settings.Backend.MaxAttempts)
 	h.manifest = &activeManifest{onChange: h.budgets.setManifest}
--- a/internal/serve/hostd/hostd_test.go
+++ b/internal/serve/hostd/hostd_test.go
@@ -82,7 +82,7 @@
 	}
 	h := &hostd.Host{
 		Settings: s,
-		List:     disco.NewHTTP(platform, clock.Second),
+		List:     disco.NewHTTP(platform, clock.Second, nil),
 		Table:    amazon.NewTable(a),
 		Objects:  amazon.NewObjects(a),
 		Clock:    clock.System(),
--- a/internal/tools/verbs/root_test.go
+++ b/internal/tools/verbs/root_test.go
@@ -9,6 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/spf13/cobra"
+
+	"siskinsaddle/internal/base/config"
+	"siskinsaddle/internal/fakes/hangup"
 )
 
 // Checks the exit code and output of the smaller verbs, with right and wrong
@@ -63,3 +66,18 @@
 	}
 	visit(newRoot())
 }
+
+func TestStatusOfBrokenResponseIsAnError(t *testing.T) {
+	c := qt.New(t)
+	s := &hangup.Server{}
+	c.Assert(s.Start(), qt.IsNil)
+	defer s.Stop()
+	s.SetResponse(strings.Replace(hangup.Response, " 200 ", " 000 ", 1))
+	settings := config.Default()
+	settings.Callers.OperatorAddress = s.Address()
+	var out strings.Builder
+	command := newStatus()
+	command.SetOut(&out)
+	c.Assert(status(command, settings, false), qt.IsNotNil)
+	c.Assert(out.String(), qt.Equals, "")
+}
--- a/internal/tools/verbs/serve.go
+++ b/internal/tools/verbs/serve.go
@@ -87,14 +87,18 @@
 
 // newHost returns a host connected to the platform of its settings.
 func newHost(s config.Settings, l *log.Logger) *hostd.Host {
+	counters := count.NewSet()
+	faults := newFaults(logs.Limit(l, clock.System(), nil), counters)
 	platform := platformSettings(s)
+	platform.Faults = faults
 	return &hostd.Host{
 		Settings: s,
-		List:     disco.NewHTTP(s.Platform.ListAddress, s.Platform.TimeoutMilliseconds),
+		List:     disco.NewHTTP(s.Platform.ListAddress, s.Platform.TimeoutMilliseconds, faults),
 		Table:    amazon.NewTable(platform),
 		Objects:  amazon.NewObjects(platform),
 		Clock:    clock.System(),
-		Count:    count.NewSet(),
+		Faults:   faults,
+		Count:    counters,
 		Log:      l,
 	}
 }
--- a/internal/tools/verbs/status.go
+++ b/internal/tools/verbs/status.go
@@ -1,6 +1,7 @@
 package verbs
 
 import (
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -8,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/config"
+	"siskinsaddle/internal/base/reply"
 )
 
 const statusTimeout = 5 * time.Second
@@ -49,7 +51,10 @@
 	if s.Callers.OperatorSecret != "" {
 		request.Header.Set("Authorization", "Bearer "+string(s.Callers.OperatorSecret))
 	}
-	if err := fasthttp.DoTimeout(request, response, statusTimeout); err != nil {
+	client := &fasthttp.Client{Dial: func(address string) (net.Conn, error) {
+		return reply.Dial(address, statusTimeout, nil)
+	}}
+	if err := client.DoTimeout(request, response, statusTimeout); err != nil {
 		return errors.Wrapf(err, "host %s", s.HostName)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
