--- a/internal/serve/probe/probe.go
+++ b/internal/serve/probe/probe.go
@@ -150,6 +150,9 @@
 	if err := json.NewDecoder(io.LimitReader(answer.Body, maxStateBytes)).Decode(&w); err != nil {
 		return State{}, err
 	}
+	if err := answer.Finish(maxStateBytes); err != nil {
+		return State{}, err
+	}
 	s := State{Leaving: w.Leaving, ModelsKnown: true}
 	for _, m := range w.Models {
 		s.Models = append(s.Models, m.Name)
--- a/internal/serve/probe/probe_test.go
+++ b/internal/serve/probe/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/count"
+	"siskinsaddle/internal/fakes/hangup"
 	"siskinsaddle/internal/serve/probe"
 	"siskinsaddle/internal/serve/wire"
 )
@@ -19,6 +21,29 @@
 	serviceName = "yard-app-1"
 )
 
+// The state is complete, but the response breaks behind it.
+func TestProbeWithBrokenResponseFails(t *testing.T) {
+	c := qt.New(t)
+	s := &hangup.Server{}
+	c.Assert(s.Start(), qt.IsNil)
+	defer s.Stop()
+	const state = `{"Models": [{"Name": "canvas-small"}]}`
+	fx := newFixture()
+	client := &wire.Client{}
+	fx.Send = client.Do
+	fx.targets = []probe.Target{{Name: engineName, Address: s.Address(), Engine: true}}
+	for _, test := range []struct {
+		end     string
+		answers bool
+	}{{"0\r\n\r\n", true}, {"0 \r\n\r\n", false}, {"0\r\nX Note: odd\r\n\r\n", false}} {
+		s.SetResponse(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%s", len(state), state, test.end))
+		missed := fx.Count.Count("siskinsaddle_probes_total", count.Label{Key: "result", Value: "Missed"})
+		fx.Round(t.Context())
+		answered := fx.Count.Count("siskinsaddle_probes_total", count.Label{Key: "result", Value: "Missed"}) == missed
+		c.Check(answered, qt.Equals, test.answers, qt.Commentf("%q", test.end))
+	}
+}
+
 // fixture probes an engine and a plain service whose responses a test sets.
 type fixture struct {
 	*probe.Prober
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -147,6 +147,16 @@
 	return r.Length == LengthToClose && r.Status != fasthttp.StatusNoContent && r.Status != fasthttp.StatusNotModified
 }
 
+// Finish reads what is left of the body, at most limit bytes, and returns an error unless the
+// response is complete.
+func (r Response) Finish(limit int) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		return ErrTooLarge
+	}
+	return err
+}
+
 // Header returns the first field of that name, or "" if there is none.
 func (r Response) Header(name string) string {
 	for _, h := range r.Headers {
