Links between hosts take only whole replies for answers

What hosts took for answers of other hosts: a frame of any type with the number of a call, and a value with further bytes behind it.

Cause: the reader of a link looked at a frame's number only, and asked for its type just to tell failures from the rest; msgpack's Unmarshal ignores what follows the value.

The fix: a frame that is neither a reply, a failure nor a pong ends the connection, as bytes that are no frame do, and its calls fail; a value must take all of its bytes. Broken frames are logged with the peer and counted (siskinsaddle_link_broken_total).

--- a/internal/share/link/frame.go
+++ b/internal/share/link/frame.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -47,9 +48,19 @@
 	return b.Bytes(), nil
 }
 
-// Decode decodes a value that Encode encoded.
+// Decode decodes a value that Encode encoded. Bytes behind it are an error.
 func Decode(body []byte, value any) error {
-	return errors.Wrap(msgpack.Unmarshal(body, value), "decode message")
+	r := bytes.NewReader(body)
+	d := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(d)
+	d.Reset(r)
+	if err := d.Decode(value); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	if r.Len() > 0 {
+		return errors.Newf("decode message: %d bytes behind the value", r.Len())
+	}
+	return nil
 }
 
 // writeFrame writes a frame into w without flushing it and returns its length
@@ -68,6 +79,27 @@
 	return frameHeaderBytes + len(body), err
 }
 
+// readReply reads one frame that answers a call or a ping.
+func readReply(r *bufio.Reader, limit int) (frame, int, error) {
+	var f frame
+	length, err := readFrame(r, limit, &f)
+	if err != nil {
+		return f, length, err
+	}
+	switch f.Type {
+	case frameReply, frameFailed, framePong:
+		return f, length, nil
+	}
+	return f, length, errors.Newf("frame of type %q instead of a reply", f.Type)
+}
+
+// connectionEnded reports whether the error of a read is the end of the connection, as opposed
+// to bytes that are no frame.
+func connectionEnded(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 // readFrame reads one frame of at most limit bytes and returns its length.
 func readFrame(r *bufio.Reader, limit int, value any) (int, error) {
 	var header [frameHeaderBytes]byte
--- a/internal/share/link/node.go
+++ b/internal/share/link/node.go
@@ -286,3 +286,9 @@
 		"siskinsaddle_link_lost_total", int64(by), count.Label{Key: "reason", Value: reason},
 	)
 }
+
+// recordBroken records bytes of a peer that are no reply. The connection is closed then.
+func (n *Node) recordBroken(peer string, err error) {
+	n.Counters.Add("siskinsaddle_link_broken_total", 1, count.Label{Key: "peer", Value: peer})
+	n.Log.Warn("A peer's reply is broken.", "peer", peer, "error", err)
+}
--- a/internal/share/link/queue.go
+++ b/internal/share/link/queue.go
@@ -165,7 +165,7 @@
 // runSession writes queued frames to a session. It returns its replacement, or nil, and
 // the first frame for that, if there is one already.
 func (q *sendQueue) runSession(s *session, first *outgoing) (*session, *outgoing) {
-	go s.read(q.n)
+	go s.read(q.n, q.peer)
 	defer s.close()
 	if first != nil && !q.write(s, *first) {
 		return nil, nil
--- a/internal/share/link/session.go
+++ b/internal/share/link/session.go
@@ -52,12 +52,14 @@
 }
 
 // read reads replies and pongs until the connection ends.
-func (s *session) read(n *Node) {
+func (s *session) read(n *Node, peer string) {
 	defer close(s.done)
 	for {
-		var f frame
-		bytes, err := readFrame(s.r, n.MaxFrame, &f)
+		f, bytes, err := readReply(s.r, n.MaxFrame)
 		if err != nil {
+			if !connectionEnded(err) {
+				n.recordBroken(peer, err)
+			}
 			return
 		}
 		n.countMessage("In", f.Kind, bytes)
