Stand-ins break answers, and the soak and hosts as processes are tried with that

What was missing: no stand-in sent a broken header, so no test, soak or chaos run could see one reach a caller.

What is new: package spoil breaks headers (status 000, a blank or a control byte in a name, a folded line, a header that breaks off) and marks each with a field of its own, by which a test sees what was forwarded. The soak's servers use it on plain calls, uploads, streams and resumed streams, together with malformed chunks and early answers that are reset, and its store with the new fault StoreBroken; its callers read by base/reply. The new check BrokenAnswersEnd fails on what a server had broken and on bytes of a host that are no response. The stand-ins of the suite take the fault BreakAnswers.

With connections left unchecked, TestBrokenAnswersReachNoCaller (`serve`: a booking got 200) and TestProcessForwardsNoBrokenAnswer (`front` as a process: bookings and chats got 200) fail.

--- a/internal/fakes/cloud/cloud.go
+++ b/internal/fakes/cloud/cloud.go
@@ -37,6 +37,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/front"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/internal/plat/disco"
 )
 
@@ -59,6 +60,8 @@
 	// HostsLagMilliseconds makes reads of the list of machines return its state
 	// this long ago.
 	HostsLagMilliseconds clock.Millis
+	// BreakAnswers breaks all responses in that way, except those about faults.
+	BreakAnswers spoil.Kind
 }
 
 // Counts are totals of calls since the start. Refused counts the calls that Down,
--- a/internal/fakes/cloud/http.go
+++ b/internal/fakes/cloud/http.go
@@ -27,6 +27,7 @@
 
 func (c *Cloud) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	front.Spoil(ctx, c.Faults().BreakAnswers)
 	for _, r := range routes {
 		if r.path == path && r.method == string(ctx.Method()) {
 			r.handle(c, ctx)
--- a/internal/fakes/engine/faults.go
+++ b/internal/fakes/engine/faults.go
@@ -8,6 +8,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/batch"
+	"siskinsaddle/internal/fakes/spoil"
 )
 
 // Faults are the faults that are injected into the engine. The zero value of a
@@ -33,6 +34,8 @@
 	CacheLagMilliseconds clock.Millis
 	// CacheGapEvery omits each cache event whose sequence number is a multiple of it.
 	CacheGapEvery int
+	// BreakAnswers breaks all responses in that way, except those about faults.
+	BreakAnswers spoil.Kind
 }
 
 // Faults returns the current faults.
--- a/internal/fakes/engine/http.go
+++ b/internal/fakes/engine/http.go
@@ -33,6 +33,7 @@
 
 func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	front.Spoil(ctx, e.Faults().BreakAnswers)
 	if id, ok := strings.CutPrefix(path, requestsPath); ok && ctx.IsDelete() {
 		e.deleteRequest(ctx, id)
 		return
--- a/internal/fakes/front/conn.go
+++ b/internal/fakes/front/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"siskinsaddle/internal/fakes/spoil"
 )
 
 const (
@@ -25,6 +27,7 @@
 	err      error
 	silent   bool
 	closed   bool
+	spoil    spoil.Kind
 }
 
 func newConn(raw net.Conn, s *Server) *Conn {
@@ -96,15 +99,31 @@
 	return n, nil
 }
 
+// Spoil breaks the response that is written next.
+func (c *Conn) Spoil(kind spoil.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.spoil = kind
+}
+
 // Write writes to the caller. On a silent connection it discards the bytes.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	silent := c.silent
+	silent, kind := c.silent, c.spoil
+	c.spoil = ""
 	c.mu.Unlock()
 	if silent {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	if kind == "" {
+		return c.Conn.Write(b)
+	}
+	text, goesOn := kind.Response(b)
+	_, err := c.Conn.Write(text)
+	if err == nil && !goesOn {
+		err = c.Close()
+	}
+	return len(b), err
 }
 
 // Close closes the connection. A silent connection stays open towards the caller.
--- a/internal/fakes/front/front.go
+++ b/internal/fakes/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/valyala/fasthttp"
 
 	"siskinsaddle/internal/base/logs"
+	"siskinsaddle/internal/fakes/spoil"
 )
 
 // maxBodyBytes is the maximum size of a request body.
@@ -177,6 +178,16 @@
 	return c
 }
 
+// FaultsPath is the path of the faults of a stand-in, whose responses are never broken.
+const FaultsPath = "/faults"
+
+// Spoil breaks the response to a request, unless it is about faults.
+func Spoil(ctx *fasthttp.RequestCtx, kind spoil.Kind) {
+	if c := ConnOf(ctx); c != nil && string(ctx.Path()) != FaultsPath {
+		c.Spoil(kind)
+	}
+}
+
 // WriteJSON sets the status and a JSON body of a response.
 func WriteJSON(ctx *fasthttp.RequestCtx, status int, body []byte) {
 	ctx.SetStatusCode(status)
--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -122,12 +122,13 @@
 	EmptySuccess   Behavior = "EmptySuccess"
 	NoEvents       Behavior = "NoEvents"
 	StartOver      Behavior = "StartOver"
-	// ZeroStatus sends the right answer with the status 000, BlankInName and ControlInName with a
-	// blank or a control byte in the name of a field, and CutHeader only the first half of its
-	// header. MalformedChunk sends half of the events of a stream and then a chunk without a size.
+	// ZeroStatus, BlankInName, ControlInName, FoldedLine and CutHeader send the right answer with
+	// a header that package spoil breaks. MalformedChunk sends half of the events of a stream and
+	// then a chunk without a size.
 	ZeroStatus     Behavior = "ZeroStatus"
 	BlankInName    Behavior = "BlankInName"
 	ControlInName  Behavior = "ControlInName"
+	FoldedLine     Behavior = "FoldedLine"
 	CutHeader      Behavior = "CutHeader"
 	MalformedChunk Behavior = "MalformedChunk"
 	// EarlyCut sends a success without a length and a part of its body before it has read the
@@ -462,9 +463,6 @@
 	if write, ok := extraResponses[behavior]; ok {
 		return o.writeAnswer(c, r, behavior) && write(o, c, id)
 	}
-	if spoil, ok := spoiledAnswers[behavior]; ok {
-		return o.writeAnswer(&spoiledConn{Conn: c, spoil: spoil}, r, behavior)
-	}
 	switch behavior {
 	case Fail, NotRun:
 		return o.writeError(c, id, behavior)
@@ -489,10 +487,13 @@
 	return o.writeAnswer(c, r, behavior)
 }
 
-// performOdd performs the behaviors that send bytes without end, an odd stream or a response
-// that does not identify itself. It reports whether the connection stays open, and whether the behavior is one of them.
+// performOdd performs the behaviors that send bytes without end, a broken response, an odd
+// stream or a response that does not identify itself. It reports whether the connection stays open, and whether the behavior is one of them.
 func (o *Origin) performOdd(c net.Conn, r *http.Request, behavior Behavior) (open, ok bool) {
 	id := r.Header.Get(o.Fields.RequestID)
+	if _, ok := spoiledHeaders[behavior]; ok || behavior == MalformedChunk {
+		return o.writeAnswer(&spoiledConn{Conn: c, behavior: behavior}, r, behavior), true
+	}
 	if e, ok := endlessResponses[behavior]; ok {
 		return o.writeEndless(c, id, e), true
 	}
--- a/internal/fakes/origin/spoiled.go
+++ b/internal/fakes/origin/spoiled.go
@@ -1,21 +1,31 @@
 package origin
 
 import (
-	"bytes"
 	"io"
 	"net"
+
+	"siskinsaddle/internal/fakes/spoil"
 )
 
-// spoiledConn is a connection on which an answer is written. spoil changes the text of each
-// write, numbered from 0, and returns false if the connection ends after it.
+// spoiledConn is a connection on which an answer is written and broken in one of its writes.
 type spoiledConn struct {
 	net.Conn
-	spoil  func(write int, text []byte) ([]byte, bool)
-	writes int
+	behavior Behavior
+	writes   int
 }
 
+// malformedChunkAt is the write of MalformedChunk that is broken, counted from that of the
+// header.
+const malformedChunkAt = Events / 2
+
 func (s *spoiledConn) Write(p []byte) (int, error) {
-	text, goesOn := s.spoil(s.writes, p)
+	text, goesOn := p, true
+	if kind, ok := spoiledHeaders[s.behavior]; ok && s.writes == 0 {
+		text, goesOn = kind.Response(p)
+	}
+	if s.behavior == MalformedChunk && s.writes == malformedChunkAt {
+		text = append([]byte("size"), p...)
+	}
 	s.writes++
 	if _, err := s.Conn.Write(text); err != nil {
 		return 0, err
@@ -26,28 +36,10 @@
 	return len(p), nil
 }
 
-// spoiledAnswers spoil the right answer, whose first write has its whole header.
-var spoiledAnswers = map[Behavior]func(write int, text []byte) ([]byte, bool){
-	ZeroStatus:    inHeader(" 200 ", " 000 "),
-	BlankInName:   inHeader("\r\n", "\r\nX Note: odd\r\n"),
-	ControlInName: inHeader("\r\n", "\r\nX\x01Note: odd\r\n"),
-	CutHeader: func(_ int, text []byte) ([]byte, bool) {
-		return text[:bytes.Index(text, []byte("\r\n\r\n"))/2], false
-	},
-	MalformedChunk: func(write int, text []byte) ([]byte, bool) {
-		if write == Events/2 {
-			return append([]byte("size"), text...), true
-		}
-		return text, true
-	},
-}
-
-// inHeader replaces the first occurrence of a text in the header.
-func inHeader(old, replacement string) func(write int, text []byte) ([]byte, bool) {
-	return func(write int, text []byte) ([]byte, bool) {
-		if write == 0 {
-			text = bytes.Replace(text, []byte(old), []byte(replacement), 1)
-		}
-		return text, true
-	}
+var spoiledHeaders = map[Behavior]spoil.Kind{
+	ZeroStatus:    spoil.ZeroStatus,
+	BlankInName:   spoil.BlankInName,
+	ControlInName: spoil.ControlInName,
+	FoldedLine:    spoil.FoldedLine,
+	CutHeader:     spoil.CutHeader,
 }
--- a/internal/fakes/suite/suite_test.go
+++ b/internal/fakes/suite/suite_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/internal/fakes/suite"
 	"siskinsaddle/internal/plat/disco"
 )
@@ -51,6 +56,31 @@
 	c.Assert(s.Runs("yard-app"), qt.DeepEquals, map[string]int{"k1": 1})
 }
 
+func TestBrokenAnswersAreSetPerPart(t *testing.T) {
+	c := qt.New(t)
+	s := &suite.Suite{Settings: suite.Embedded()}
+	c.Assert(s.Start(), qt.IsNil)
+	defer s.Stop()
+	for name, address := range map[string]string{
+		"canvas-llm-1":     s.Engine("canvas-llm-1").Address(),
+		"yard-app-1":       s.Plain("yard-app-1").Address(),
+		suite.PlatformName: s.Platform().Address(),
+	} {
+		for _, kind := range append(spoil.Kinds, "") {
+			call(c, "POST", "http://"+s.Address()+"/faults/"+name, fmt.Sprintf(`{"BreakAnswers": %q}`, kind))
+			conn, err := net.Dial("tcp", address)
+			c.Assert(err, qt.IsNil)
+			_, err = io.WriteString(conn, "GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			text, err := io.ReadAll(conn)
+			c.Assert(err, qt.IsNil)
+			c.Assert(strings.Contains(string(text), spoil.Field+": "+string(kind)), qt.Equals, kind != "", qt.Commentf("%s: %q", name, text))
+			c.Assert(strings.HasPrefix(string(text), "HTTP/1.1 000 "), qt.Equals, kind == spoil.ZeroStatus)
+			c.Assert(conn.Close(), qt.IsNil)
+		}
+	}
+}
+
 func TestRunStopsWhenContextIsCanceled(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fakes/websvc/http.go
+++ b/internal/fakes/websvc/http.go
@@ -33,6 +33,7 @@
 }
 
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
+	front.Spoil(ctx, s.Faults().BreakAnswers)
 	if id := ctx.Request.Header.Peek(HeaderRequest); len(id) > 0 {
 		ctx.Response.Header.SetBytesV(HeaderRequest, id)
 	}
--- a/internal/fakes/websvc/websvc.go
+++ b/internal/fakes/websvc/websvc.go
@@ -36,6 +36,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/front"
+	"siskinsaddle/internal/fakes/spoil"
 )
 
 // DropPoint is the point of a call at which the connection is dropped.
@@ -76,6 +77,8 @@
 	// SilentOpen makes the connections that are open now silent for the rest of
 	// their life. It reads as false afterwards.
 	SilentOpen bool
+	// BreakAnswers breaks all responses in that way, except those about faults.
+	BreakAnswers spoil.Kind
 }
 
 // Service is one server of a plain service. The exported fields are set before
--- a/internal/serve/hostd/fault_test.go
+++ b/internal/serve/hostd/fault_test.go
@@ -16,6 +16,7 @@
 
 	"siskinsaddle/internal/base/count"
 	"siskinsaddle/internal/fakes/engine"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/internal/fakes/websvc"
 	"siskinsaddle/internal/serve/events"
 	"siskinsaddle/internal/serve/hostd"
@@ -112,6 +113,28 @@
 	}
 }
 
+// Answers that break HTTP reach no caller: completions come from the other engine, and a
+// booking that ran is neither confirmed nor said not to have run.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	b := newTestbed(t)
+	want, err := b.collect(5, -1, nil)
+	b.c.Assert(err, qt.IsNil)
+	for _, kind := range spoil.Kinds {
+		b.standIns.Engine(engines[0]).SetFaults(engine.Faults{BreakAnswers: kind})
+		for range 4 {
+			got, err := b.collect(5, -1, nil)
+			b.c.Assert(err, qt.IsNil)
+			b.c.Assert(got, qt.Equals, want)
+		}
+		b.standIns.Plain("yard-app-1").SetFaults(websvc.Faults{BreakAnswers: kind})
+		got := b.book(b.host, "POST", string(kind))
+		b.c.Check(got.status, qt.Equals, 502, qt.Commentf("%s", kind))
+		b.c.Check(got.ran, qt.Equals, refuse.RanUnknown)
+		b.c.Check(b.standIns.Runs("yard-app")[string(kind)], qt.Equals, 1)
+		b.standIns.Plain("yard-app-1").SetFaults(websvc.Faults{})
+	}
+}
+
 // The prefill of a long prompt on a slowed engine completes, although the engine
 // sends its header at once and then nothing for longer than the progress timeout.
 func TestLongPromptOnSlowedEngine(t *testing.T) {
--- a/internal/serve/proxy/broken_test.go
+++ b/internal/serve/proxy/broken_test.go
@@ -12,6 +12,7 @@
 	"siskinsaddle/internal/base/meter"
 	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/fakes/spoil"
 )
 
 // brokenAnswers are the ways to break an answer, and the fault that is reported.
@@ -22,6 +23,7 @@
 	{origin.ZeroStatus, reply.FaultStatus},
 	{origin.BlankInName, reply.FaultFieldName},
 	{origin.ControlInName, reply.FaultFieldName},
+	{origin.FoldedLine, reply.FaultFieldName},
 	{origin.CutHeader, reply.FaultCutHeader},
 }
 
@@ -51,7 +53,7 @@
 				}
 				got := r.send("POST", test.path, "b1", "Content-Length: 0\r\n")
 				c.Check(got.status, qt.Equals, test.status)
-				c.Check(got.headers.Get("Stamp"), qt.Equals, "")
+				c.Check(got.headers.Get(spoil.Field)+got.headers.Get("Stamp"), qt.Equals, "")
 				c.Check(got.body, qt.Not(qt.Contains), "i-")
 				c.Check(r.runs("b1"), qt.Equals, test.runs)
 				server := "i-0"
@@ -77,6 +79,7 @@
 				got := r.send("GET", "/lookup/", id, "")
 				c.Check(got.status, qt.Equals, 200)
 				c.Check(got.body, qt.Equals, "answer of i-1")
+				c.Check(got.headers.Get(spoil.Field), qt.Equals, "")
 				c.Check(r.servers[1].Runs(id), qt.Equals, 1)
 			}
 		})
--- a/internal/tools/soak/callers.go
+++ b/internal/tools/soak/callers.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/internal/policy/route"
 	"siskinsaddle/platform"
 )
@@ -40,7 +42,7 @@
 	name    string
 	random  *rand.Rand
 	host    *host
-	conn    net.Conn
+	conn    *reply.Conn
 	reader  *bufio.Reader
 	sent    int
 	// poison is the segment of the caller's prompts that crashes engines, "" for none.
@@ -125,7 +127,8 @@
 		if err != nil {
 			return err
 		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
+		c.conn = reply.Wrap(conn, c.host.settings.CallerAddress, nil)
+		c.reader = bufio.NewReader(c.conn)
 	}
 	if err := c.conn.SetDeadline(deadline()); err != nil {
 		return err
@@ -150,6 +153,8 @@
 }
 
 func (c *caller) read(s *Request) {
+	open := c.conn
+	defer func() { s.Fault = open.Fault() }()
 	answer, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		c.closeConn()
@@ -160,6 +165,7 @@
 	s.Stamp = answer.Header.Get(platform.Headers.ServerStamp)
 	s.Limit = answer.Header.Get(platform.Headers.RateLimit)
 	s.Leaving = answer.Header.Get(platform.Headers.Leaving) == "1"
+	s.Spoiled = answer.Header.Get(spoil.Field)
 	s.AnswerID = answer.Header.Get(platform.Headers.RequestID)
 	body, err := io.ReadAll(answer.Body)
 	endMarked := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
--- a/internal/tools/soak/checks.go
+++ b/internal/tools/soak/checks.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"siskinsaddle/internal/base/clock"
+	"siskinsaddle/internal/base/reply"
 	"siskinsaddle/internal/policy/route"
 	"siskinsaddle/internal/serve/refuse"
 )
@@ -34,6 +35,10 @@
 	// server is leaving.
 	Limit   string
 	Leaving bool
+	// Fault is what is wrong with the bytes of the host. Spoiled is the way in which the
+	// server broke a response that was forwarded all the same.
+	Fault   reply.Fault
+	Spoiled string
 }
 
 // The outcomes of a request for its caller.
@@ -163,6 +168,7 @@
 	{"RunsOnce", runsOnce},
 	{"RefusalsAreTrue", refusalsAreTrue},
 	{"AnswersAreWhole", answersAreWhole},
+	{"BrokenAnswersEnd", brokenAnswersEnd},
 	{"WithdrawnKeysEnd", withdrawnKeysEnd},
 	{"LeavingServersAreSpared", leavingServersAreSpared},
 	{"ManifestsGoForward", manifestsGoForward},
@@ -254,6 +260,21 @@
 	return found
 }
 
+// brokenAnswersEnd finds responses that a server had broken, and those that hosts broke
+// otherwise than by an early end.
+func brokenAnswersEnd(r Record) []string {
+	var found []string
+	for _, s := range r.Requests {
+		if s.Spoiled != "" {
+			found = append(found, fmt.Sprintf("%s got a response with the fault %s of its server", s.ID, s.Spoiled))
+		}
+		if s.Fault != "" && s.Fault != reply.FaultCutHeader && s.Fault != reply.FaultCutBody {
+			found = append(found, fmt.Sprintf("%s got a response with the fault %s", s.ID, s.Fault))
+		}
+	}
+	return found
+}
+
 // overlapsFault reports whether a fault of the host or of all hosts, or a lag of the
 // machine, overlaps a time span. Planned operations count if alsoPlanned is set.
 func (r Record) overlapsFault(host int, from, until clock.Millis, alsoPlanned bool) bool {
--- a/internal/tools/soak/checks_test.go
+++ b/internal/tools/soak/checks_test.go
@@ -134,6 +134,9 @@
 		"AnswersAreWhole": func(r *Record) {
 			r.add(Request{ID: "gap", Kind: route.KindStream, Status: 200, Whole: true, AnswerID: "gap", Body: strings.Replace(wholeStream, "token 3", "token 4", 1)}, 1)
 		},
+		"BrokenAnswersEnd": func(r *Record) {
+			r.add(Request{ID: "broken", Kind: route.KindSafe, Status: 502, Whole: true, Spoiled: "ZeroStatus"}, 1)
+		},
 		"WithdrawnKeysEnd": func(r *Record) {
 			r.add(Request{ID: "late-key", Key: "old", At: 15_001, Status: 502, Whole: true}, 1)
 		},
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -13,6 +13,7 @@
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/memdb"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/platform"
 )
 
@@ -81,6 +82,7 @@
 		KindStoreWatchesSilent: storeFault,
 		KindStoreLostAnswers:   storeFault,
 		KindStoreRejectsHost:   storeFault,
+		KindStoreBroken:        storeFault,
 		KindStoreRestored:      restoreStore,
 		KindStoreReset: func(_ context.Context, hn *harness, f Fault) func() {
 			hn.hosts[f.Target].storeRelay.Reset()
@@ -152,7 +154,7 @@
 // applyStoreFaults combines the active faults and sets them on the store. The caller
 // holds the lock.
 func (hn *harness) applyStoreFaults() {
-	all := memdb.Faults{RefusedHosts: map[string]bool{}}
+	all, broken := memdb.Faults{RefusedHosts: map[string]bool{}}, spoil.Kind("")
 	for _, f := range hn.faults {
 		switch f.Kind {
 		case KindStoreDown, KindStoreRestored:
@@ -163,11 +165,20 @@
 			all.MuteWatches = true
 		case KindStoreLostAnswers:
 			all.LoseResponses = true
+		case KindStoreBroken:
+			broken = spoil.Kinds[int(f.At)%len(spoil.Kinds)]
 		case KindStoreRejectsHost:
 			all.RefusedHosts[hn.hosts[f.Target].settings.HostName] = true
 		}
 	}
 	hn.store.SetFaults(all)
+	hn.brokenStore = broken
+}
+
+func (hn *harness) brokenStoreKind() spoil.Kind {
+	hn.mu.Lock()
+	defer hn.mu.Unlock()
+	return hn.brokenStore
 }
 
 // targetServer returns the target of a fault among the servers that do not leave.
@@ -187,18 +198,20 @@
 var faultyActs = []origin.Behavior{
 	origin.Fail, origin.NotRun, origin.Reset, origin.Tear, origin.Stray, origin.Extra, origin.Early,
 	origin.EndlessHeader, origin.EndlessBody, origin.EndlessChunks, origin.EndlessEvent, origin.Trickle,
+	origin.ZeroStatus, origin.BlankInName, origin.ControlInName, origin.FoldedLine, origin.CutHeader, origin.EarlyCut,
 }
 
 // faultyStreams are the ways in which only an engine misbehaves.
 var faultyStreams = []origin.Behavior{
 	origin.HalfEvent, origin.HalfEventChunks, origin.NoEvent, origin.CutStream, origin.UnframedStream,
-	origin.LengthStream, origin.LengthStreamAtOnce, origin.CutLengthStream, origin.LongEvent,
+	origin.LengthStream, origin.LengthStreamAtOnce, origin.CutLengthStream, origin.LongEvent, origin.MalformedChunk,
 }
 
 // resumeActs are the ways in which engines answer a request that resumes a stream of a faulty
 // one.
 var resumeActs = []origin.Behavior{
 	origin.Answer, origin.Fail, origin.ErrorAsSuccess, origin.ErrorHead, origin.NoContent, origin.EmptySuccess, origin.NoEvents, origin.StartOver,
+	origin.ZeroStatus, origin.BlankInName, origin.FoldedLine, origin.CutHeader, origin.MalformedChunk,
 }
 
 func makeServerFaulty(_ context.Context, hn *harness, f Fault) func() {
--- a/internal/tools/soak/harness.go
+++ b/internal/tools/soak/harness.go
@@ -13,6 +13,7 @@
 	"siskinsaddle/internal/fakes/memdb"
 	"siskinsaddle/internal/fakes/midbox"
 	"siskinsaddle/internal/fakes/origin"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/internal/policy/fleet"
 	"siskinsaddle/internal/policy/route"
 	"siskinsaddle/platform"
@@ -36,6 +37,8 @@
 	servers     []*server
 	serversMade int
 	faults      []Fault
+	// brokenStore is the way in which the store breaks its responses.
+	brokenStore spoil.Kind
 	manifest    route.Parts
 	keys        []string
 	revokedKeys []string
--- a/internal/tools/soak/hosts.go
+++ b/internal/tools/soak/hosts.go
@@ -22,6 +22,7 @@
 
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/fakes/midbox"
+	"siskinsaddle/internal/fakes/spoil"
 	"siskinsaddle/platform"
 )
 
@@ -64,7 +65,8 @@
 		return nil, errors.Wrap(err, "listen for the store")
 	}
 	hn.closers = append(hn.closers, func() { _ = l.Close() })
-	server := &fasthttp.Server{Handler: platform.ServeStore(hn.withLinks(hn.store.For(name), domain))}
+	handler := platform.ServeStore(hn.withLinks(hn.store.For(name), domain))
+	server := &fasthttp.Server{Handler: spoil.Handler(handler, hn.brokenStoreKind)}
 	go func() { _ = server.Serve(l) }() // ends with the listener
 	relay, err := midbox.New(l.Addr().String())
 	if err != nil {
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -13,6 +13,7 @@
 
 // The kinds of faults. Target is the number of the host or of the server. StoreDeaf has
 // watches receive no events; TurnedAway has the store reject the calls of one host.
+// StoreBroken has the store break all of its responses, each fault in one way of package spoil.
 // StoreRestored has the store down and then restored from an older copy.
 // DomainCut cuts the hosts of the target's failure domain off from all others and from the
 // store. ServersCrash crashes half of the engines at once. Poison sends prompts that crash
@@ -32,6 +33,7 @@
 	KindStoreLostAnswers   Kind = "StoreLostAnswers"
 	KindStoreRejectsHost   Kind = "TurnedAway"
 	KindStoreRestored      Kind = "StoreRestored"
+	KindStoreBroken        Kind = "StoreBroken"
 	KindStoreReset         Kind = "StoreReset"
 	KindStoreSilent        Kind = "StoreSilent"
 	KindStoreOneWay        Kind = "StoreOneWay"
@@ -69,7 +71,8 @@
 	return false
 }
 
-// weights are the relative frequencies of the kinds.
+// weights are the relative frequencies of the kinds. Those of weight 0 are drawn apart, which
+// leaves the plans of older seeds as they are but for them.
 var weights = []struct {
 	kind   Kind
 	weight int
@@ -102,6 +105,7 @@
 	{KindSaysLeaving, 2},
 	{KindHoldOff, 3},
 	{KindOddRecords, 2},
+	{KindStoreBroken, 0},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
@@ -177,6 +181,26 @@
 			}
 		}
 	}
+	plan = append(plan, brokenStoreFaults(seed, hosts, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
+
+// meanBrokenStoreInterval is the mean time between two faults of KindStoreBroken, in
+// milliseconds.
+const meanBrokenStoreInterval = 10_000
+
+// brokenStoreFaults draws the faults of KindStoreBroken.
+func brokenStoreFaults(seed uint64, hosts int, length clock.Millis) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var faults []Fault
+	for range 1 + int(length)/meanBrokenStoreInterval {
+		faults = append(faults, Fault{
+			At:       clock.Millis(random.Int64N(int64(length))),
+			Duration: minFaultDuration + clock.Millis(random.Int64N(maxFaultDuration-minFaultDuration)),
+			Kind:     KindStoreBroken,
+			Target:   random.IntN(hosts),
+		})
+	}
+	return faults
+}
--- a/internal/tools/verbs/front_test.go
+++ b/internal/tools/verbs/front_test.go
@@ -97,12 +97,7 @@
 
 func newHarness(c *qt.C, hosts int) *harness {
 	s := &harness{c: c, store: memdb.New(clock.System())}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	server := &fasthttp.Server{Handler: platform.ServeStore(s.store.For("any"))}
-	go func() { _ = server.Serve(l) }()
-	c.Cleanup(func() { _ = l.Close() })
-	s.storeAddress = l.Addr().String()
+	s.serveStore(platform.ServeStore(s.store.For("any")))
 	s.chat = &origin.Origin{ID: "i-chat", Fields: platform.Headers, Stream: true}
 	s.app = &origin.Origin{ID: "i-app", Fields: platform.Headers}
 	for service, o := range map[string]*origin.Origin{"llm": s.chat, "app": s.app} {
@@ -119,7 +114,18 @@
 	return s
 }
 
-func (s *harness) start(ip string) {
+// serveStore serves the store at a new address, for the hosts that start later.
+func (s *harness) serveStore(handler fasthttp.RequestHandler) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.c.Assert(err, qt.IsNil)
+	server := &fasthttp.Server{Handler: handler, Logger: logs.Discard()}
+	go func() { _ = server.Serve(l) }()
+	s.c.Cleanup(func() { _ = l.Close() })
+	s.storeAddress = l.Addr().String()
+}
+
+// writeSettings returns a host that is not started, with its settings in a file.
+func (s *harness) writeSettings(ip string) *frontHost {
 	c := s.c
 	text := fmt.Sprintf(`{"node_name": "host-%[1]s", "ip": "%[1]s", "zone": "a", "region": "r", "port_range": [%[2]d, %[2]d],
 	  "listen": {"front": "%[1]s:%[3]d", "ready": "%[1]s:%[4]d"}, "limits": {"cpu_share": 1, "cores": 1, "memory_mb": 284, "max_fds": 4100},
@@ -130,6 +136,12 @@
 	var err error
 	h.settings, err = platform.Load(h.file)
 	c.Assert(err, qt.IsNil)
+	return h
+}
+
+func (s *harness) start(ip string) {
+	c := s.c
+	h := s.writeSettings(ip)
 	clk, set := clock.System(), count.NewSet()
 	plain := logs.NewPlain(h.log, logs.LevelInfo)
 	h.host = newFrontHost(h.settings, clk, logs.Limit(plain, clk, set), plain, set)
