--- a/bench/sockets/chaos.sh
+++ b/bench/sockets/chaos.sh
@@ -88,7 +88,7 @@
   free=$n
 }
 plan_one() {
-  local at=$1 end=$(($1 + 1500 + RANDOM % 3000)) kind=$((RANDOM % 20)) e p
+  local at=$1 end=$(($1 + 1500 + RANDOM % 3000)) kind=$((RANDOM % 21)) e p broken
   e=canvas-llm-$((RANDOM % 10 + 1))
   p=yard-app-$((RANDOM % 3 + 1))
   free_host "$at"
@@ -112,6 +112,11 @@
   17) [ $free -gt 0 ] && add "$at" "stop $free" && add $((at + 4000)) "again $free" && busy[$free]=$((at + 14000)) ;;
   18) add "$at" "push 1" ;;
   19) add "$at" "push 2" ;;
+  20)
+    broken=$(pick "$e" "$p" Platform)
+    add "$at" "fault $broken {\"BreakAnswers\":\"$(pick ZeroStatus BlankInName ControlInName FoldedLine CutHeader)\"}"
+    add "$end" "fault $broken {\"BreakAnswers\":\"\"}"
+    ;;
   esac
 }
 for ((at = 3000; at < load_ms - 6000; at += 900)); do plan_one "$at"; done
--- a/internal/plat/amazon/amazon_test.go
+++ b/internal/plat/amazon/amazon_test.go
@@ -96,6 +96,8 @@
 		"a line without CR":    "HTTP/1.1 200 OK\n" + end,
 		"a control byte":       "HTTP/1.1 200 O\x01K\r\n" + end,
 		"a length and chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"a broken last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0 \r\n\r\n",
+		"a broken trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Note: odd\r\n\r\n",
 		"a chunk with a blank": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\n{}\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/plat/amazon/client_test.go
+++ b/internal/plat/amazon/client_test.go
@@ -7,8 +7,12 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+
+	"siskinsaddle/internal/plat/table"
 )
 
 // Over TLS the responses are checked, not the records that carry them.
@@ -41,3 +45,25 @@
 		}
 	}
 }
+
+// The text of the response is complete, and what breaks it arrives later.
+func TestResponseThatBreaksBehindItsTextIsAnError(t *testing.T) {
+	for _, test := range []struct {
+		end   string
+		whole bool
+	}{{"0\r\n\r\n", true}, {"0 \r\n\r\n", false}, {"", false}} {
+		c := qt.New(t)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			c.Check(err, qt.IsNil)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, test.end)
+			_ = conn.Close()
+		}))
+		defer s.Close()
+		store := NewTable(Settings{TableEndpoint: s.URL, Region: "local", AccessKey: "k", SecretKey: "s", Table: "t", DialTimeout: 1_000, Timeout: 5_000})
+		_, err := store.Get(t.Context(), "K", "n")
+		c.Check(errors.Is(err, table.ErrNotFound), qt.Equals, test.whole, qt.Commentf("%q: %v", test.end, err))
+	}
+}
