A connection that ends behind an interim response names its fault

What operators saw: a server that sent an interim response and closed the connection was a failure (502 or another server) without a line that names what was wrong.

Cause: the check took the end of any header without a body for the end of the answer.

Evidence: TestSentencesOverSplitReads reads each whole sentence up to every byte and asks for a fault; it failed for the text that ends behind the interim response.

The fix: a response is complete only with its final header.

--- a/internal/base/reply/conn.go
+++ b/internal/base/reply/conn.go
@@ -38,8 +38,8 @@
 // Expect prepares for the response to a request that is sent next.
 func (c *Conn) Expect(method string) { c.checker.noBodies = method == "HEAD" }
 
-// Complete reports whether the bytes so far end a response, or there are none.
-func (c *Conn) Complete() bool { return c.checker.state == stateStart }
+// Complete reports whether the bytes so far end a final response, or there are none.
+func (c *Conn) Complete() bool { return c.checker.complete() }
 
 // Fault returns the fault that has ended the connection's reads, or "".
 func (c *Conn) Fault() Fault { return c.checker.fault }
--- a/internal/base/reply/reply.go
+++ b/internal/base/reply/reply.go
@@ -141,11 +141,17 @@
 	fault Fault
 }
 
+// complete reports whether the last byte ended a final response, or there was none.
+func (c *checker) complete() bool {
+	interim := c.status > 0 && c.status < 200
+	return c.state == stateStart && !interim
+}
+
 // end checks the end of the connection. An orderly one completes a body without a length, a
 // reset completes nothing.
 func (c *checker) end(reset bool) {
 	switch {
-	case c.state == stateFailed, c.state == stateStart, c.state == stateBodyToClose && !reset:
+	case c.state == stateFailed, c.complete(), c.state == stateBodyToClose && !reset:
 	case c.state < stateLengthBody && !c.inTrailer:
 		c.fail(FaultCutHeader)
 	default:
--- a/internal/serve/wire/fuzz_test.go
+++ b/internal/serve/wire/fuzz_test.go
@@ -98,6 +98,14 @@
 				c.Assert(got.Body, qt.Equals, hangup.ResponseBody)
 				c.Assert(got.Reused && test.ToClose, qt.IsFalse)
 			}
+			end := len(test.Text)
+			if test.ToClose {
+				end -= len(hangup.ResponseBody)
+			}
+			for n := 1; n < end; n++ {
+				fault := receiveScripted([]byte(test.Text[:n]), n).Fault
+				c.Assert(fault == reply.FaultCutHeader || fault == reply.FaultCutBody, qt.IsTrue, qt.Commentf("%q: %q", test.Text[:n], fault))
+			}
 		})
 	}
 }
