An early answer that is reset during the upload is reported

What operators saw: a server answered a long upload at once, in part, and reset the connection. The caller got 502, but no line named what was wrong with the server.

Cause: the reset met the write of the request, and then nothing was read. A read would not have told either: the write takes the error of the reset, and the read behind the last bytes says that the connection ended in order.

The fix: after such a write what has arrived is read for at most 1 ms and checked, with the end of the connection taken for a reset. Nothing of it goes further.

--- a/internal/base/reply/conn.go
+++ b/internal/base/reply/conn.go
@@ -66,5 +66,33 @@
 	return 0, &BrokenError{fault}
 }
 
+const (
+	// maxLateReads bounds the reads of EndByReset, and lateReadTime the time for them.
+	maxLateReads = 64
+	lateReadTime = time.Millisecond
+	lateReadSize = 4 << 10
+)
+
+// EndByReset ends the reads of a connection that was reset while its request was written. What
+// has arrived of a response by then is broken: a read behind it would say that the connection
+// ended in order, as the write has taken the error.
+func (c *Conn) EndByReset() {
+	if c.SetReadDeadline(time.Now().Add(lateReadTime)) != nil {
+		return
+	}
+	var buffer [lateReadSize]byte
+	for range maxLateReads {
+		n, err := c.Conn.Read(buffer[:])
+		c.checker.check(buffer[:n])
+		if err != nil {
+			break
+		}
+	}
+	c.checker.end(true)
+	if fault := c.Fault(); fault != "" {
+		c.Report(fault)
+	}
+}
+
 // Report reports a fault of the server.
 func (c *Conn) Report(fault Fault) { c.Faults.report(c.Server, c.ID, fault) }
--- a/internal/serve/proxy/broken_test.go
+++ b/internal/serve/proxy/broken_test.go
@@ -148,8 +148,10 @@
 				c.Assert(err, qt.IsNil)
 				got := readResponse(c, bufio.NewReader(conn), "POST")
 				c.Check(got.status, qt.Equals, 502, qt.Commentf("body %q", got.body))
-				c.Check(r.runs(id) <= 1, qt.IsTrue)
+				c.Check(r.runs(id), qt.Equals, 1)
 			}
+			cut := r.brokenResponses("i-0", reply.FaultCutBody) + r.brokenResponses("i-1", reply.FaultCutBody)
+			c.Check(cut, qt.Equals, int64(10))
 		})
 	}
 }
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -49,6 +49,7 @@
 	"io"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -209,6 +210,9 @@
 		return Response{}, SentNothing, err
 	}
 	if sent, err := t.send(); err != nil {
+		if sent == SentMaybe && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+			t.conn.EndByReset()
+		}
 		cause := t.cause(err)
 		t.abandon()
 		return Response{}, sent, cause
