A server's refusal does not reach callers as a promise that the request has not run

Callers got that 503, took it for the promise that the booking has not run, and booked again.

Cause: the proxy looked at the field only to decide whether to send a request elsewhere. Every other response of a server kept its status: 503 as the server's error, 408 and 429 like a success, and any status to HEAD.

Fix: 408, 429 or 503 without the field is a failed attempt of a request that may have run. It is repeated where the route allows it, otherwise the caller gets 502 of the host, without the server's stamp.

--- a/internal/fakes/origin/origin.go
+++ b/internal/fakes/origin/origin.go
@@ -39,7 +39,7 @@
 // Behavior is how the stand-in treats one request.
 type Behavior string
 
-// The behaviors. All of them except NotRun and Moved run the request.
+// The behaviors. All of them except Moved and those that begin with NotRun run the request.
 const (
 	// Answer answers 200.
 	Answer Behavior = "Answer"
@@ -47,6 +47,20 @@
 	Fail Behavior = "Fail"
 	// NotRun refuses with 503 and the not-run header field, as a full server does.
 	NotRun Behavior = "NotRun"
+	// NotRunLimited, NotRunTimedOut and NotRunMoved refuse with 429, 408 and 421 and the
+	// not-run header field.
+	NotRunLimited  Behavior = "NotRunLimited"
+	NotRunTimedOut Behavior = "NotRunTimedOut"
+	NotRunMoved    Behavior = "NotRunMoved"
+	// RanUnavailable, RanLimited and RanTimedOut run the request and answer with the status of
+	// a refusal, 503, 429 or 408, without that field. RanEarly does so with 503 before it has
+	// read the request body. UnnamedUnavailable sends such a response without an id before the
+	// right one.
+	RanUnavailable     Behavior = "RanUnavailable"
+	RanLimited         Behavior = "RanLimited"
+	RanTimedOut        Behavior = "RanTimedOut"
+	RanEarly           Behavior = "RanEarly"
+	UnnamedUnavailable Behavior = "UnnamedUnavailable"
 	// Moved refuses with 421, as a server that the request is not addressed to.
 	Moved Behavior = "Moved"
 	// Reset resets the connection before the response.
@@ -395,7 +409,7 @@
 			continue
 		}
 		behavior := o.chooseBehavior(r)
-		if behavior != Early && behavior != EarlyCut {
+		if behavior != Early && behavior != EarlyCut && behavior != RanEarly {
 			var body bytes.Buffer
 			if _, err := body.ReadFrom(r.Body); err != nil {
 				return
@@ -404,7 +418,7 @@
 		if !o.perform(c, r, behavior) {
 			return
 		}
-		if behavior == Early {
+		if behavior == Early || behavior == RanEarly {
 			var body bytes.Buffer
 			if _, err := body.ReadFrom(r.Body); err != nil {
 				return
@@ -438,7 +452,7 @@
 	if want := r.Header.Get(o.Fields.Server); want != "" && want != o.ID {
 		behavior = Moved
 	}
-	runs := behavior != NotRun && behavior != Moved
+	runs := behavior != Moved && !refusals[behavior].marked
 	if o.OnRequest != nil {
 		o.OnRequest(r, runs)
 	} else {
@@ -463,9 +477,12 @@
 	if write, ok := extraResponses[behavior]; ok {
 		return o.writeAnswer(c, r, behavior) && write(o, c, id)
 	}
+	if refusal, ok := refusals[behavior]; ok {
+		return o.writeRefusal(c, id, refusal)
+	}
 	switch behavior {
-	case Fail, NotRun:
-		return o.writeError(c, id, behavior)
+	case Fail:
+		return o.writePlain(c, 500, id, "failed", "")
 	case crashAtSegment:
 		o.writeCrash(c, r)
 		return false
@@ -536,11 +553,12 @@
 	Stray: func(o *Origin, c net.Conn) bool {
 		return o.writePlain(c, 200, "another-request", "stray", "")
 	},
-	StrayRefusal:   func(o *Origin, c net.Conn) bool { return o.writeError(c, "another-request", NotRun) },
-	UnnamedRefusal: func(o *Origin, c net.Conn) bool { return o.writeError(c, "", NotRun) },
-	UnnamedSuccess: func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "stray") },
-	UnnamedFailure: func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 500, "stray") },
-	UnnamedEmpty:   func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "") },
+	StrayRefusal:       func(o *Origin, c net.Conn) bool { return o.writeRefusal(c, "another-request", refusals[NotRun]) },
+	UnnamedRefusal:     func(o *Origin, c net.Conn) bool { return o.writeRefusal(c, "", refusals[NotRun]) },
+	UnnamedUnavailable: func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 503, "") },
+	UnnamedSuccess:     func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "stray") },
+	UnnamedFailure:     func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 500, "stray") },
+	UnnamedEmpty:       func(_ *Origin, c net.Conn) bool { return writeUnnamed(c, 200, "") },
 	Informational: func(_ *Origin, c net.Conn) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n")
 		return err == nil
@@ -576,12 +594,31 @@
 // again under load.
 const maxCopyDelay = 3 * time.Millisecond
 
-// writeError answers with an error, which says so if the request did not run.
-func (o *Origin) writeError(c net.Conn, id string, behavior Behavior) bool {
-	if behavior == NotRun {
-		return o.writePlain(c, 503, id, "full", o.Fields.NotRun+": 1\r\n"+o.holdOffField())
+// refusal is a response with the status of a refusal. marked is set if it states that the
+// request did not run.
+type refusal struct {
+	status int
+	marked bool
+}
+
+var refusals = map[Behavior]refusal{
+	NotRun:         {http.StatusServiceUnavailable, true},
+	NotRunLimited:  {http.StatusTooManyRequests, true},
+	NotRunTimedOut: {http.StatusRequestTimeout, true},
+	NotRunMoved:    {http.StatusMisdirectedRequest, true},
+	RanUnavailable: {http.StatusServiceUnavailable, false},
+	RanLimited:     {http.StatusTooManyRequests, false},
+	RanTimedOut:    {http.StatusRequestTimeout, false},
+	RanEarly:       {http.StatusServiceUnavailable, false},
+}
+
+// writeRefusal reports whether the connection stays open.
+func (o *Origin) writeRefusal(c net.Conn, id string, r refusal) bool {
+	fields := ""
+	if r.marked {
+		fields = o.Fields.NotRun + ": 1\r\n" + o.holdOffField()
 	}
-	return o.writePlain(c, 500, id, "failed", "")
+	return o.writePlain(c, r.status, id, "", fields)
 }
 
 // endlessBytes is the length of the text that endless bodies repeat.
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -122,7 +122,7 @@
 		return failedResult(err, sent)
 	}
 	defer func() { _ = response.Body.Close() }() // the response is complete or discarded
-	if !response.Attributed && j.promisesNotRun(response) {
+	if !response.Attributed && (j.statesNotRun(response) || promisesNotRun(response.Status)) {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: causeCrossed}
 	}
 	if response.Status == fasthttp.StatusMisdirectedRequest {
@@ -153,20 +153,25 @@
 	return j.proxy.ServersIdentify && f != "" && response.Status < fasthttp.StatusMultipleChoices && response.Header(f) == ""
 }
 
-// promisesNotRun reports whether callers and this host take a response for the statement that
-// the request did not run.
-func (j *job) promisesNotRun(response wire.Response) bool {
-	switch response.Status {
+// promisesNotRun reports whether callers take a status for the promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
 	case fasthttp.StatusMisdirectedRequest, fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout:
 		return true
 	}
+	return false
+}
+
+// statesNotRun reports whether a server states that it did not run the request. Its status
+// alone, other than 421, does not.
+func (j *job) statesNotRun(response wire.Response) bool {
 	return response.Header(j.proxy.Fields.NotRun) != ""
 }
 
 // forward forwards a server's response to the caller if it may.
 func (j *job) forward(response wire.Response, firstEventBy clock.Millis) result {
-	if response.Header(j.proxy.Fields.NotRun) != "" {
-		// The server states that it did not run the request.
+	if j.statesNotRun(response) {
 		return result{outcome: place.OutcomeFull, sent: retry.SentNothing, cause: "NotRun"}
 	}
 	if j.headerSent && !j.continues(response) {
@@ -214,9 +219,17 @@
 
 // forwardWhole buffers the response, up to maxBufferedBytes, before forwarding it, so
 // that the caller gets no part of one that breaks off. A server error is kept for the
-// caller until another attempt succeeds.
+// caller until another attempt succeeds, unless its status promises that the request has not
+// run: the server may have run it.
 func (j *job) forwardWhole(response wire.Response) result {
 	headers := forwardedHeaders(response.Headers)
+	unmarkedRefusal := promisesNotRun(response.Status)
+	if unmarkedRefusal {
+		j.log("A server refused a request without stating that it did not run; it counts as run.", "server", j.server, "status", response.Status)
+	}
+	if j.request.Method == fasthttp.MethodHead && unmarkedRefusal {
+		return unmarkedRefusalResult
+	}
 	if j.request.Method == fasthttp.MethodHead {
 		j.writer.WholeHead(response.Status, headers, response.Length)
 		return result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
@@ -232,6 +245,9 @@
 	if response.Length >= 0 && len(body) != response.Length {
 		return result{outcome: place.OutcomeBroken, sent: retry.SentWhole, cause: "Broken"}
 	}
+	if unmarkedRefusal {
+		return unmarkedRefusalResult
+	}
 	w := bufferedResponse{status: response.Status, headers: headers, body: body, endUnmarked: response.EndUnmarked()}
 	if response.Status >= fasthttp.StatusInternalServerError {
 		j.serverError = &w
@@ -242,6 +258,10 @@
 	return servedResult(response)
 }
 
+// unmarkedRefusalResult is the result of an attempt whose server refused the request, but did
+// not state that it has not run.
+var unmarkedRefusalResult = result{outcome: place.OutcomeFailed, sent: retry.SentWhole, cause: "UnmarkedRefusal"}
+
 // servedResult returns the result of an attempt whose answer was forwarded to its end.
 func servedResult(response wire.Response) result {
 	r := result{outcome: place.OutcomeServed, served: true, sent: retry.SentWhole}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -9,7 +9,10 @@
 // request counts as not sent.
 //
 // A refusal with status 503 guarantees that the request has not run and will not
-// run. If that is not certain, the status is 502, or 504 after the time limit.
+// run. If that is not certain, the status is 502, or 504 after the time limit. Callers
+// take the status of a server for the same promise. So a server's 408, 429 or 503 is not
+// forwarded: with the NotRun field the request is sent elsewhere or refused, without it
+// the attempt has failed like one that ended with 500.
 //
 // # Usage
 //
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -109,8 +109,9 @@
 			s.relay.SetDelay(serverDelay)
 			return func() { s.relay.SetDelay(0) }
 		},
-		KindServerFaulty: makeServerFaulty,
-		KindServerLeaves: replaceServer,
+		KindServerFaulty:  makeServerFaulty,
+		KindServerRefuses: makeServerRefuse,
+		KindServerLeaves:  replaceServer,
 		KindManifest: func(_ context.Context, hn *harness, _ Fault) func() {
 			hn.changeManifest()
 			return nil
@@ -242,6 +243,19 @@
 	}
 }
 
+// ranRefusals are the ways in which a server refuses a request that it has run.
+var ranRefusals = []origin.Behavior{origin.RanUnavailable, origin.RanLimited, origin.RanTimedOut, origin.RanEarly}
+
+// makeServerRefuse has a server run a part of its requests and refuse them.
+func makeServerRefuse(_ context.Context, hn *harness, f Fault) func() {
+	s := hn.targetServer(f)
+	random := rand.New(rand.NewPCG(hn.options.Seed, uint64(f.At)))
+	s.SetScript(func() (origin.Behavior, bool) {
+		return ranRefusals[random.IntN(len(ranRefusals))], random.Float64() < faultyShare
+	})
+	return func() { s.SetScript(func() (origin.Behavior, bool) { return origin.Answer, false }) }
+}
+
 // replaceServer adds a server and marks another one as leaving. The store drops the
 // leaving server once no request may reach it any more.
 func replaceServer(ctx context.Context, hn *harness, f Fault) func() {
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -20,7 +20,8 @@
 // engines until the end of the run. With Limit a server names the rate of requests that it
 // takes, and later none. With SaysLeaving a server says in its responses only that it is
 // leaving, with HoldOff that it wants no requests for a while. OddRecords writes records that
-// cannot be read between those of servers and hosts.
+// cannot be read between those of servers and hosts. With ServerRefuses a server runs a part
+// of its requests and answers them with the status of a refusal.
 const (
 	KindStop               Kind = "Stop"
 	KindKill               Kind = "Kill"
@@ -51,6 +52,7 @@
 	KindSaysLeaving        Kind = "SaysLeaving"
 	KindHoldOff            Kind = "HoldOff"
 	KindOddRecords         Kind = "OddRecords"
+	KindServerRefuses      Kind = "ServerRefuses"
 )
 
 // planned reports whether the kind is a planned operation, which must break nothing.
@@ -106,6 +108,7 @@
 	{KindHoldOff, 3},
 	{KindOddRecords, 2},
 	{KindStoreBroken, 0},
+	{KindServerRefuses, 0},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
@@ -181,26 +184,31 @@
 			}
 		}
 	}
-	plan = append(plan, brokenStoreFaults(seed, hosts, length)...)
+	plan = append(plan, apartFaults(seed, hosts, length)...)
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
 	return plan
 }
 
-// meanBrokenStoreInterval is the mean time between two faults of KindStoreBroken, in
+// meanApartInterval is the mean time between two faults of a kind that is drawn apart, in
 // milliseconds.
-const meanBrokenStoreInterval = 10_000
+const meanApartInterval = 10_000
 
-// brokenStoreFaults draws the faults of KindStoreBroken.
-func brokenStoreFaults(seed uint64, hosts int, length clock.Millis) []Fault {
-	random := rand.New(rand.NewPCG(seed, 1))
+// apartKinds are the kinds that are drawn apart, each from its own random numbers.
+var apartKinds = []Kind{KindStoreBroken, KindServerRefuses}
+
+// apartFaults draws the faults of apartKinds.
+func apartFaults(seed uint64, hosts int, length clock.Millis) []Fault {
 	var faults []Fault
-	for range 1 + int(length)/meanBrokenStoreInterval {
-		faults = append(faults, Fault{
-			At:       clock.Millis(random.Int64N(int64(length))),
-			Duration: minFaultDuration + clock.Millis(random.Int64N(maxFaultDuration-minFaultDuration)),
-			Kind:     KindStoreBroken,
-			Target:   random.IntN(hosts),
-		})
+	for i, kind := range apartKinds {
+		random := rand.New(rand.NewPCG(seed, uint64(1+i)))
+		for range 1 + int(length)/meanApartInterval {
+			faults = append(faults, Fault{
+				At:       clock.Millis(random.Int64N(int64(length))),
+				Duration: minFaultDuration + clock.Millis(random.Int64N(maxFaultDuration-minFaultDuration)),
+				Kind:     kind,
+				Target:   random.IntN(hosts),
+			})
+		}
 	}
 	return faults
 }
--- a/internal/tools/trace/cause.go
+++ b/internal/tools/trace/cause.go
@@ -30,7 +30,7 @@
 		"OutOfTime":   "the caller's deadline passed before a server was selected; it has not run",
 		"TimedOut":    "the server that got the request did not answer within the route's time limit; it may have run",
 		"Quarantined": "a segment of the prompt is quarantined, because prompts with it have crashed servers; it has not run. See the lines of prefix guard",
-		"BackendFailed": "the connection to the server that got the request ended without an answer. The request may have run, and may not be repeated, so that its outcome is unknown. " +
+		"BackendFailed": "the connection to the server that got the request ended without an answer, or the server refused it without stating that it did not run. The request may have run, and may not be repeated, so that its outcome is unknown. " +
 			"Look for the server's own failure at that time",
 	},
 	"BrokenOff": {
