One failed call of one host is no outage of the store

Cause: the silent watch of the servers times out after 3.9 s. That one failed call counted as an outage, in which records expire though their servers live, so the servers that were missing in the next read were kept for 2 s more. Two more ways to the same: a suspended host finds its calls failed when it goes on, and a host whose own calls are answered believed another one that the store is down.

Fix: two failed calls for the servers in a row prove an outage, the second on a connection of its own (the client closes idle connections after a timeout already; TestCallsAfterSilenceUseNewConnections passes with and without this change).

Evidence: of the plays of TestServersAfterOutagesAndSilence four failed before: a silent watch and a removal at once or after 3.05 s, one refused call, and the view of a host that is turned away. TestServerThatLeftIsNotKeptBySuspendedReader failed in both cases. TestServerThatLeftIsNotAdoptedFromSuspendedReader relied on the fault, as its suspended reader had to keep a server that had left.

--- a/internal/policy/fleet/fleet.go
+++ b/internal/policy/fleet/fleet.go
@@ -7,6 +7,12 @@
 // record is missing stays in the list until then. While the store is up, a server
 // is dropped as soon as its record is missing.
 //
+// One failed call is no outage: it may be that of a connection, or of a host that was
+// suspended. A second one in a row, made on another connection, is. The outage ends with the
+// next call that is answered, and the recovery grace period counts from there. So calls have
+// to be repeated often while they fail. Only calls for the records themselves count, since
+// other tables may be up or down by themselves (docs/design/outages.md).
+//
 // A restore of the store from a copy brings back older records: those of servers that
 // have left, and those of leaving servers from before they said so. Until the servers
 // have written again, such a record is held back. The order of a server's records is
@@ -18,8 +24,9 @@
 //	f.Replace(now, servers)
 //	f.Put(now, server)
 //	f.Remove(now, id)
-//	f.StoreFailed(now)
+//	f.CallFailed(now)
 //	f.StoreSucceeded(now)
+//	f.StopReading()
 //	f.StoreRestored(now)
 //	f.DropExpired(now) // drops servers whose record is still missing
 //	list := f.List()
@@ -80,6 +87,10 @@
 	// the server is dropped.
 	missing   map[string]clock.Millis
 	storeDown bool
+	// failures is the number of failed calls since the last answered one. reading is set
+	// while this host's own calls are answered.
+	failures int
+	reading  bool
 	// recoveredAt is the end of the store's last outage.
 	recoveredAt clock.Millis
 	hadOutage   bool
@@ -125,11 +136,31 @@
 	f.heldUntil = now + f.restoreGrace
 }
 
-// StoreFailed records that a call to the store failed.
+// StoreFailed records that the store is down.
 func (f *Fleet) StoreFailed(_ clock.Millis) { f.storeDown = true }
 
-// StoreSucceeded records that a call to the store succeeded.
+// provingFailures is the number of failed calls in a row that show that the store is down.
+const provingFailures = 2
+
+// CallFailed records that a call for the records failed.
+func (f *Fleet) CallFailed(now clock.Millis) {
+	f.failures++
+	f.reading = false
+	if f.failures >= provingFailures {
+		f.StoreFailed(now)
+	}
+}
+
+// StoreDown reports whether the store is down, as far as this host knows.
+func (f *Fleet) StoreDown() bool { return f.storeDown }
+
+// StopReading records that this host does not call the store any more. What its calls have
+// shown does not count against the views of other hosts from now on.
+func (f *Fleet) StopReading() { f.failures, f.reading = 0, false }
+
+// StoreSucceeded records that a call for the records succeeded.
 func (f *Fleet) StoreSucceeded(now clock.Millis) {
+	f.failures, f.reading = 0, true
 	if f.storeDown {
 		f.recoveredAt = now
 		f.hadOutage = true
@@ -146,10 +177,12 @@
 
 // Adopt replaces the state by that of another Fleet: its servers, those among them
 // without a record, and whether it cannot reach the store. The other Fleet may have missed
-// that a server without a record has left; what is known here of its leaving stays.
+// that a server without a record has left; what is known here of its leaving stays. Its store
+// is not down for a host whose own calls are answered.
 func (f *Fleet) Adopt(
 	now clock.Millis, list []Server, missing map[string]clock.Millis, storeDown bool,
 ) {
+	storeDown = storeDown && !f.reading
 	if f.storeDown && !storeDown {
 		f.recoveredAt = now
 		f.hadOutage = true
--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -43,13 +43,11 @@
 	onSnapshot func(rows.Reply)
 	onChange   func(rows.Reply)
 	// enterEra checks the era of each reply.
-	enterEra func(era int64) error
-	// onFailure gets the number of consecutive failures.
-	onFailure func(int)
+	enterEra  func(era int64) error
+	onFailure func()
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
-
 	// hasSnapshot is set after a snapshot read. after is the position from which
 	// to watch.
 	hasSnapshot bool
@@ -59,7 +57,6 @@
 
 func (f *follower) run(ctx context.Context) {
 	delay := minRetryDelay
-	failures := 0
 	for ctx.Err() == nil {
 		recovered := f.recovered()
 		err := f.step(ctx)
@@ -67,7 +64,7 @@
 			return
 		}
 		if err == nil {
-			delay, failures = minRetryDelay, 0
+			delay = minRetryDelay
 			if f.failing {
 				f.failing = false
 				f.log.Info("The store answers again.")
@@ -78,8 +75,7 @@
 		if historyGone(err) {
 			continue
 		}
-		failures++
-		f.onFailure(failures)
+		f.onFailure()
 		if !f.failing {
 			f.failing = true
 			f.log.Warn("The store does not answer.", "err", err)
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -77,7 +77,7 @@
 	// Missing maps the ID of each server without a record to the time at which
 	// it is dropped, on the boot-time clock.
 	Missing map[string]clock.Millis
-	// StoreDown is set when the last two calls for the servers failed.
+	// StoreDown is set while the store is down for the host that reads the servers.
 	StoreDown bool
 }
 
@@ -138,7 +138,9 @@
 	confirmedDirect atomic.Int64
 	mu              sync.Mutex
 	fleet           *fleet.Fleet
-	storeDown       bool
+	// answeredAt is the time of the last answered call for the servers, on the boot-time
+	// clock.
+	answeredAt clock.Millis
 	// unusable has the versions of servers' records that were logged as unusable.
 	unusable map[string]int64
 	// era is the newest era of the store, valid if eraKnown is set.
@@ -223,6 +225,10 @@
 // afterwards.
 func (w *Watcher) Run(ctx context.Context) {
 	w.prepare()
+	defer w.stopReading()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { w.followServers(ctx) })
 	after, ok := w.confirmFirst(ctx)
 	if !ok {
 		return
@@ -232,17 +238,20 @@
 	manifest.onSnapshot = func(r rows.Reply) { _, _, _ = w.applyManifest(r.Rows, r.Era) }
 	manifest.onChange = manifest.onSnapshot
 	manifest.hasSnapshot, manifest.after = true, after
-	servers := w.follower("servers", w.Source.ServersRange, serversWait)
-	servers.after = w.View().ServersRevision
-	servers.batchDelay = serversBatchDelay
-	servers.onSnapshot = w.replaceServers
-	servers.onChange = w.applyServerChanges
-	servers.onFailure = w.recordFailure
-	var tasks sync.WaitGroup
 	tasks.Go(func() { manifest.run(ctx) })
-	tasks.Go(func() { servers.run(ctx) })
 	tasks.Go(func() { w.confirmPeriodically(ctx) })
-	tasks.Wait()
+}
+
+// followServers follows the servers until the context ends. It does not wait for the first
+// read of the manifest, whose table may be down alone.
+func (w *Watcher) followServers(ctx context.Context) {
+	f := w.follower("servers", w.Source.ServersRange, serversWait)
+	f.after = w.View().ServersRevision
+	f.batchDelay = serversBatchDelay
+	f.onSnapshot = w.replaceServers
+	f.onChange = w.applyServerChanges
+	f.onFailure = w.recordFailure
+	f.run(ctx)
 }
 
 // Confirm records that the manifest in the view was the newest at a time of the
@@ -269,7 +278,7 @@
 		span:      span,
 		watchWait: watchWait,
 		enterEra:  w.enterEra,
-		onFailure: func(int) {},
+		onFailure: func() {},
 	}
 }
 
@@ -380,12 +389,10 @@
 	return reply.Revision(), nil
 }
 
-// confirmFirst retries until a read succeeds or the context ends. During a store
-// outage, these reads alone detect its end. A read that does not confirm the manifest of a
-// restored store suffices, so that a starting host gets to know the servers. From the second
-// failure on the servers that another host has told of may lose their records.
+// confirmFirst retries until a read succeeds or the context ends. A read that does not confirm
+// the manifest of a restored store suffices.
 func (w *Watcher) confirmFirst(ctx context.Context) (rows.Revision, bool) {
-	for failures := 1; ctx.Err() == nil; failures++ {
+	for first := true; ctx.Err() == nil; first = false {
 		after, err := w.confirm(ctx)
 		if err == nil || errors.Is(err, errUnsettled) || errors.Is(err, errUnreadable) {
 			return after, true
@@ -393,10 +400,8 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if failures == 1 {
+		if first {
 			w.Log.Warn("Reading the manifest failed; retrying.", "err", err)
-		} else if !errors.Is(err, errStale) {
-			w.recordFailure(failures)
 		}
 		w.pause(ctx, w.retryWait())
 	}
@@ -430,6 +435,12 @@
 	}
 }
 
+func (w *Watcher) stopReading() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fleet.StopReading()
+}
+
 func (w *Watcher) pause(ctx context.Context, wait clock.Millis) {
 	select {
 	case <-ctx.Done():
@@ -561,7 +572,6 @@
 	}
 	now := w.Clock.Boot()
 	w.fleet.Adopt(now, v.Servers, v.Missing, v.StoreDown)
-	w.storeDown = v.StoreDown
 	if left := len(v.Servers) - len(w.fleet.List()); left > 0 {
 		w.Log.Info("Servers without a record were not adopted from another host, as they have left.", "servers", left)
 	}
@@ -582,7 +592,7 @@
 	defer w.mu.Unlock()
 	now := w.Clock.Boot()
 	w.fleet.StoreSucceeded(now)
-	w.storeDown = false
+	w.answeredAt = now
 	var all []fleet.Server
 	for _, row := range r.Rows {
 		if s, ok := w.server(row); ok {
@@ -598,7 +608,7 @@
 	defer w.mu.Unlock()
 	now := w.Clock.Boot()
 	w.fleet.StoreSucceeded(now)
-	w.storeDown = false
+	w.answeredAt = now
 	upTo := w.View().ServersRevision
 	if len(r.Rows) > 0 && upTo.Before(r.Revision()) {
 		upTo = r.Revision()
@@ -632,18 +642,18 @@
 // maxUnusable bounds the records that are logged as unusable.
 const maxUnusable = 1_000
 
-// recordFailure records a failed call for the servers. From the first failure on the
-// list counts as unconfirmed. The second failure in a row publishes a view with
-// StoreDown set; the first does not, since it may be that of a connection.
-func (w *Watcher) recordFailure(failures int) {
+// recordFailure records a failed call for the servers. It publishes a view with StoreDown set
+// once the store is known to be down.
+func (w *Watcher) recordFailure() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.Clock.Boot()
-	w.fleet.StoreFailed(now)
-	if failures > 1 {
-		w.storeDown = true
-		w.publishServers(now, w.View().ServersRevision)
+	wasDown := w.fleet.StoreDown()
+	w.fleet.CallFailed(now)
+	if !wasDown && w.fleet.StoreDown() {
+		w.Log.Warn("The store is down; servers whose records are missing afterwards are kept for a while.", "answered", now-w.answeredAt)
 	}
+	w.publishServers(now, w.View().ServersRevision)
 }
 
 // publishServers publishes a view of the list if it changed. At is the position of the
@@ -656,16 +666,17 @@
 	v := w.View()
 	list := w.fleet.List()
 	known := v.ServersKnown || at.Version > 0
+	down := w.fleet.StoreDown()
 	same := v.ServersKnown == known && equalServers(v.Servers, list)
 	missing := w.fleet.Missing()
-	if same && v.StoreDown == w.storeDown && v.ServersRevision == at && maps.Equal(v.Missing, missing) {
+	if same && v.StoreDown == down && v.ServersRevision == at && maps.Equal(v.Missing, missing) {
 		return
 	}
 	if len(missing) != len(v.Missing) {
-		w.Log.Info("The number of servers that are kept without a record changed.", "servers", len(missing), "storeDown", w.storeDown)
+		w.Log.Info("The number of servers that are kept without a record changed.", "servers", len(missing), "storeDown", down)
 	}
 	v.Servers, v.ServersKnown, v.ServersRevision, v.Missing, v.StoreDown =
-		list, known, at, missing, w.storeDown
+		list, known, at, missing, down
 	if same {
 		w.publish(v)
 		return
