Calls for the servers follow each other within a second while they fail

Cause: after failed calls a host waited up to 4.8 s for the next one. Only a read of the manifest that succeeds after a failed one ended the wait, and none had failed. The host's next call then counted as the end of the outage, and the server, whose record was gone by then, was kept for 2 s.

Fix: the delay is below one second, what is left of the three seconds until hosts are in touch again when the two seconds of the recovery grace are taken off. It counts from the start of the failed call. Hosts beside which others read the store wait longer, below a second as well.

The soak has outages of the servers' table, open connections to the store that go silent, and servers whose record is removed without a word, drawn apart from the other faults.

--- a/internal/fakes/memdb/memdb.go
+++ b/internal/fakes/memdb/memdb.go
@@ -1,5 +1,5 @@
 // Package memdb is an in-memory stand-in for the platform's row store with fault
-// injection: it can be down or slow, lose responses, apply changes late, refuse
+// injection: it can be down, wholly or for single tables, or slow, lose responses, apply changes late, refuse
 // single hosts, return stale reads, discard its change history, stop delivering
 // changes to watches, and be restored from an older copy.
 //
@@ -30,6 +30,8 @@
 type Faults struct {
 	// Down refuses every call.
 	Down bool
+	// DownTables is the set of tables for which calls are refused.
+	DownTables map[string]bool
 	// RefusedHosts is the set of hosts whose calls are refused.
 	RefusedHosts map[string]bool
 	// Delay delays each call before it takes effect, in milliseconds.
@@ -181,9 +183,14 @@
 	}
 }
 
+// refuses reports whether a host's calls for some tables are refused.
+func (f Faults) refuses(host string, tables []string) bool {
+	return f.Down || f.RefusedHosts[host] || slices.ContainsFunc(tables, func(t string) bool { return f.DownTables[t] })
+}
+
 // admit counts a call and applies the delay and the refusals. It returns the
 // faults in force, or rows.ErrRefused or rows.ErrOutcomeUnknown.
-func (s *Store) admit(ctx context.Context, host string) (Faults, error) {
+func (s *Store) admit(ctx context.Context, host string, tables ...string) (Faults, error) {
 	s.mu.Lock()
 	s.calls++
 	f := s.faults
@@ -195,14 +202,14 @@
 		case <-s.clock.After(f.Delay):
 		}
 	}
-	if f.Down || f.RefusedHosts[host] {
+	if f.refuses(host, tables) {
 		return f, rows.ErrRefused
 	}
 	return f, nil
 }
 
 func (s *Store) read(ctx context.Context, host string, r rows.Range) (rows.Reply, error) {
-	f, err := s.admit(ctx, host)
+	f, err := s.admit(ctx, host, r.Table)
 	if err != nil {
 		return rows.Reply{}, err
 	}
@@ -223,7 +230,7 @@
 func (s *Store) watch(
 	ctx context.Context, host, table string, after int64, wait clock.Millis,
 ) (rows.Reply, error) {
-	if _, err := s.admit(ctx, host); err != nil {
+	if _, err := s.admit(ctx, host, table); err != nil {
 		return rows.Reply{}, err
 	}
 	timeout := s.clock.After(wait)
@@ -251,7 +258,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.faults.Down || s.faults.RefusedHosts[host] || s.era != era:
+	case s.faults.refuses(host, []string{table}) || s.era != era:
 		return rows.Reply{}, nil, rows.ErrOutcomeUnknown
 	case after < s.compacted || after > s.version:
 		return rows.Reply{}, nil, rows.ErrHistoryGone
@@ -266,7 +273,11 @@
 }
 
 func (s *Store) commit(ctx context.Context, host string, c rows.Change) (rows.Reply, error) {
-	f, err := s.admit(ctx, host)
+	var tables []string
+	for _, r := range slices.Concat(c.Expect, c.Writes, c.Removes) {
+		tables = append(tables, r.Table)
+	}
+	f, err := s.admit(ctx, host, tables...)
 	if err != nil {
 		return rows.Reply{}, err
 	}
--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -12,10 +12,12 @@
 )
 
 // The bounds of the delay after a failed call, in milliseconds. The delay ends
-// early when a read that confirms the manifest succeeds again.
+// early when a read that confirms the manifest succeeds again. It counts from the start of
+// the call, which may have taken long without an answer, but at least retryPause follows.
 const (
 	minRetryDelay = 100 * clock.Millis(1)
 	maxRetryDelay = 3_200 * clock.Millis(1)
+	retryPause    = 50 * clock.Millis(1)
 )
 
 // errStale reports a reply that is older than an earlier one. Its rows are ignored and
@@ -45,6 +47,9 @@
 	// enterEra checks the era of each reply.
 	enterEra  func(era int64) error
 	onFailure func()
+	// maxRetryDelay returns the longest delay after a failed call, in milliseconds. Jitter
+	// makes it up to half as long again.
+	maxRetryDelay func() clock.Millis
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
@@ -59,6 +64,7 @@
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		recovered := f.recovered()
+		began := f.clock.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -82,12 +88,13 @@
 		}
 		// Jitter of 50% spreads the retries of hosts that failed at the same time.
 		jittered := delay/2 + clock.Millis(rand.Int64N(int64(delay)))
+		jittered = max(jittered-(f.clock.Now()-began), retryPause)
 		select {
 		case <-ctx.Done():
 		case <-recovered:
 		case <-f.clock.After(jittered):
 		}
-		delay = min(2*delay, maxRetryDelay)
+		delay = min(2*delay, f.maxRetryDelay())
 	}
 }
 
--- a/internal/share/watch/outage_test.go
+++ b/internal/share/watch/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -190,6 +191,12 @@
 	{"one call is refused, and a record is removed", []step{
 		{0, set(modeRefusing, "servers")}, {20, set(modeUp, "servers")}, {20, (*play).removeB},
 	}, 0, 20 + drain},
+	{"the servers' table is away, then a record is removed", []step{
+		{0, set(modeRefusing, "servers")}, {outageEnd, set(modeUp, "servers")}, {removedAt, (*play).removeB},
+	}, removedAt, removedAt + drain},
+	{"the servers' table is silent, then a record is removed", []step{
+		{0, set(modeSilent, "servers")}, {outageEnd, set(modeUp, "servers")}, {removedAt, (*play).removeB},
+	}, removedAt, removedAt + drain},
 	{"all tables are away, then a record is removed", []step{
 		{0, set(modeRefusing, "op", "servers")}, {outageEnd, set(modeUp, "op", "servers")}, {removedAt, (*play).removeB},
 	}, removedAt, removedAt + drain},
@@ -202,6 +209,9 @@
 	{"a record expires while the servers' table is away", []step{
 		{0, set(modeRefusing, "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "servers")}, {outageEnd + recovery - 100, (*play).putB},
 	}, outageEnd + contact, 0},
+	{"a record expires in an outage and is not back", []step{
+		{0, set(modeRefusing, "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "servers")},
+	}, outageEnd + recovery, outageEnd + contact},
 	{"the manifest's table is away, and a record is removed", []step{
 		{0, set(modeRefusing, "op")}, {1_000, (*play).removeB},
 	}, 1_000, 1_000 + drain},
@@ -264,3 +274,48 @@
 		}
 	}
 }
+
+// An outage ends for a host with its next call. If it waited longer than contact less recovery,
+// it would keep a server that has left although it is in touch again.
+func TestServersAreReadOftenWhileTheirTableIsDown(t *testing.T) {
+	for _, m := range []mode{modeRefusing, modeSilent} {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprint(m, " slow retries ", slow), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				store := memdb.New(clock.System())
+				store.Put("op", "manifest", []byte("1"))
+				store.Put("servers", "a", []byte("10.0.0.1:1"))
+				l := newLines(store.For("host"))
+				w := newWatcher(store)
+				w.Store, w.ConfirmEvery = l.client(), 0
+				w.SlowRetry = func() bool { return slow }
+				var mu sync.Mutex
+				var began []time.Time
+				read := w.Store.Read
+				w.Store.Read = func(ctx context.Context, r rows.Range) (rows.Reply, error) {
+					if r.Table == "servers" {
+						mu.Lock()
+						began = append(began, time.Now())
+						mu.Unlock()
+					}
+					return read(ctx, r)
+				}
+				run(c, w)
+				eventually(func() bool { return has(w.View(), "a") })
+				l.set(modeRefusing, "servers") // ends the open watch
+				eventually(func() bool { return w.View().StoreDown })
+				l.set(m, "servers")
+				time.Sleep(8 * time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				longest := time.Duration(0)
+				for i := 1; i < len(began); i++ {
+					longest = max(longest, began[i].Sub(began[i-1]))
+				}
+				c.Check(longest < (contact-recovery).Duration(), qt.IsTrue, qt.Commentf("%v between two reads", longest))
+				c.Check(time.Since(began[len(began)-1]) < (contact-recovery).Duration(), qt.IsTrue)
+			})
+		}
+	}
+}
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -251,6 +251,7 @@
 	f.onSnapshot = w.replaceServers
 	f.onChange = w.applyServerChanges
 	f.onFailure = w.recordFailure
+	f.maxRetryDelay = w.maxServersRetryDelay
 	f.run(ctx)
 }
 
@@ -279,6 +280,8 @@
 		watchWait: watchWait,
 		enterEra:  w.enterEra,
 		onFailure: func() {},
+
+		maxRetryDelay: func() clock.Millis { return maxRetryDelay },
 	}
 }
 
@@ -435,6 +438,14 @@
 	}
 }
 
+// maxServersRetryDelay returns the longest delay between two failed calls for the servers.
+func (w *Watcher) maxServersRetryDelay() clock.Millis {
+	if w.SlowRetry != nil && w.SlowRetry() {
+		return slowServersRetryDelay
+	}
+	return serversRetryDelay
+}
+
 func (w *Watcher) stopReading() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -456,6 +467,15 @@
 	slowRetryDelay    = 1_500 * clock.Millis(1)
 )
 
+// The longest delays between two failed calls for the servers, in milliseconds; jitter makes
+// them up to half as long again. A host learns of the end of an outage with its next call and
+// then keeps servers without a record for recoveryGrace. Both have to be over 3 s after the
+// outage, since from then on no server that has left may get a request.
+const (
+	serversRetryDelay     = 400 * clock.Millis(1)
+	slowServersRetryDelay = 600 * clock.Millis(1)
+)
+
 func (w *Watcher) retryWait() clock.Millis {
 	wait := confirmRetryDelay
 	if w.SlowRetry != nil && w.SlowRetry() {
--- a/internal/tools/soak/faults.go
+++ b/internal/tools/soak/faults.go
@@ -83,6 +83,7 @@
 		KindStoreLostAnswers:   storeFault,
 		KindStoreRejectsHost:   storeFault,
 		KindStoreBroken:        storeFault,
+		KindServersTableDown:   storeFault,
 		KindStoreRestored:      restoreStore,
 		KindStoreReset: func(_ context.Context, hn *harness, f Fault) func() {
 			hn.hosts[f.Target].storeRelay.Reset()
@@ -96,6 +97,12 @@
 			hn.hosts[f.Target].storeRelay.SetOneWay(true)
 			return func() { hn.hosts[f.Target].storeRelay.SetOneWay(false) }
 		},
+		KindStoreChannelsDead: func(_ context.Context, hn *harness, _ Fault) func() {
+			for _, h := range hn.hosts {
+				h.storeRelay.SilenceOpen()
+			}
+			return nil
+		},
 		KindServerReset: func(_ context.Context, hn *harness, f Fault) func() {
 			hn.targetServer(f).relay.Reset()
 			return nil
@@ -112,6 +119,7 @@
 		KindServerFaulty:  makeServerFaulty,
 		KindServerRefuses: makeServerRefuse,
 		KindServerLeaves:  replaceServer,
+		KindServerRemoved: removeServer,
 		KindManifest: func(_ context.Context, hn *harness, _ Fault) func() {
 			hn.changeManifest()
 			return nil
@@ -160,6 +168,8 @@
 		switch f.Kind {
 		case KindStoreDown, KindStoreRestored:
 			all.Down = true
+		case KindServersTableDown:
+			all.DownTables = map[string]bool{platform.ServersTable: true}
 		case KindStoreSlow:
 			all.Delay = storeDelay
 		case KindStoreWatchesSilent:
@@ -259,19 +269,29 @@
 // replaceServer adds a server and marks another one as leaving. The store drops the
 // leaving server once no request may reach it any more.
 func replaceServer(ctx context.Context, hn *harness, f Fault) func() {
-	hn.departServer(ctx, hn.targetServer(f))
+	hn.departServer(ctx, hn.targetServer(f), hn.putServer)
+	return nil
+}
+
+// removeServer adds a server and removes the record of another one, which has not said that it
+// leaves.
+func removeServer(ctx context.Context, hn *harness, f Fault) func() {
+	hn.departServer(ctx, hn.targetServer(f), func(s *server) error {
+		hn.store.Delete(platform.ServersTable, s.ID)
+		return nil
+	})
 	return nil
 }
 
-// departServer replaces a server by a new one.
-func (hn *harness) departServer(ctx context.Context, s *server) {
+// departServer replaces a server by a new one. Announce makes the store say that it leaves.
+func (hn *harness) departServer(ctx context.Context, s *server, announce func(*server) error) {
 	if err := hn.addServer(s.service); err != nil {
 		hn.recordError(err)
 		return
 	}
 	hn.mu.Lock()
 	s.leaving = true
-	err := hn.putServer(s)
+	err := announce(s)
 	hn.record.Departures = append(hn.record.Departures, Departure{Server: s.ID, At: hn.now()})
 	hn.mu.Unlock()
 	if err != nil {
--- a/internal/tools/soak/notices.go
+++ b/internal/tools/soak/notices.go
@@ -44,7 +44,7 @@
 		leaving := s.leaving
 		hn.mu.Unlock()
 		if !leaving {
-			hn.departServer(ctx, s)
+			hn.departServer(ctx, s, hn.putServer)
 		}
 	}
 }
--- a/internal/tools/soak/plan.go
+++ b/internal/tools/soak/plan.go
@@ -21,7 +21,9 @@
 // takes, and later none. With SaysLeaving a server says in its responses only that it is
 // leaving, with HoldOff that it wants no requests for a while. OddRecords writes records that
 // cannot be read between those of servers and hosts. With ServerRefuses a server runs a part
-// of its requests and answers them with the status of a refusal.
+// of its requests and answers them with the status of a refusal. ServersTableAway has the store
+// refuse the calls for the servers alone. StoreChannelsDead makes all open connections to the store
+// silent. ServerRemoved removes a server's record, and the server goes on.
 const (
 	KindStop               Kind = "Stop"
 	KindKill               Kind = "Kill"
@@ -53,12 +55,15 @@
 	KindHoldOff            Kind = "HoldOff"
 	KindOddRecords         Kind = "OddRecords"
 	KindServerRefuses      Kind = "ServerRefuses"
+	KindServersTableDown   Kind = "ServersTableAway"
+	KindStoreChannelsDead  Kind = "StoreChannelsDead"
+	KindServerRemoved      Kind = "ServerRemoved"
 )
 
 // planned reports whether the kind is a planned operation, which must break nothing.
 func (k Kind) planned() bool {
 	switch k {
-	case KindStop, KindHangup, KindManifest, KindRevoke, KindServerLeaves:
+	case KindStop, KindHangup, KindManifest, KindRevoke, KindServerLeaves, KindServerRemoved:
 		return true
 	}
 	return false
@@ -109,6 +114,9 @@
 	{KindOddRecords, 2},
 	{KindStoreBroken, 0},
 	{KindServerRefuses, 0},
+	{KindServersTableDown, 0},
+	{KindStoreChannelsDead, 0},
+	{KindServerRemoved, 0},
 }
 
 // Fault is one entry of a plan. Times are in milliseconds; At counts from the start of
@@ -194,7 +202,7 @@
 const meanApartInterval = 10_000
 
 // apartKinds are the kinds that are drawn apart, each from its own random numbers.
-var apartKinds = []Kind{KindStoreBroken, KindServerRefuses}
+var apartKinds = []Kind{KindStoreBroken, KindServerRefuses, KindServersTableDown, KindStoreChannelsDead, KindServerRemoved}
 
 // apartFaults draws the faults of apartKinds.
 func apartFaults(seed uint64, hosts int, length clock.Millis) []Fault {
