A failed read of the manifest makes hosts read the servers

What callers would see: the whole store is away for some seconds, and the watch of the servers that was open before stays open, or goes silent. Records of servers expire meanwhile. When the store is back the host drops these servers and refuses requests, until they have written again, about two seconds later.

Cause: the host made no call for the servers in the outage, so nothing told it of one. Failed reads of the manifest are no proof, since its table may be away alone.

Fix: a failed read of the manifest makes the host give up its open watch and read the servers at once, unless their table answered within the last second. The answers to these calls decide.

Evidence: two plays of TestServersAfterOutagesAndSilence, added here: "a record expires while all tables are away and a watch stays open" and "a record expires while all tables are silent". Both pass now.

--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -53,6 +53,10 @@
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
+	// suspected returns a channel that closes when the store may be down. An open watch
+	// is given up for a snapshot read then.
+	suspected func() <-chan struct{}
+
 	// hasSnapshot is set after a snapshot read. after is the position from which
 	// to watch.
 	hasSnapshot bool
@@ -115,8 +119,8 @@
 		f.onSnapshot(reply)
 		return nil
 	}
-	reply, err := f.store.Watch(ctx, f.span.Table, f.after.Version, f.watchWait)
-	if err != nil {
+	reply, err := f.watch(ctx)
+	if err != nil || !f.hasSnapshot {
 		return err
 	}
 	if err := f.enterEra(reply.Era); err != nil {
@@ -139,3 +143,23 @@
 	}
 	return nil
 }
+
+// watch makes one Watch call. It clears hasSnapshot if it gave the call up.
+func (f *follower) watch(ctx context.Context) (rows.Reply, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	suspected := f.suspected()
+	go func() {
+		select {
+		case <-suspected:
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
+	reply, err := f.store.Watch(callCtx, f.span.Table, f.after.Version, f.watchWait)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		f.hasSnapshot = false
+		return rows.Reply{}, nil
+	}
+	return reply, err
+}
--- a/internal/share/watch/outage_test.go
+++ b/internal/share/watch/outage_test.go
@@ -209,6 +209,12 @@
 	{"a record expires while the servers' table is away", []step{
 		{0, set(modeRefusing, "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "servers")}, {outageEnd + recovery - 100, (*play).putB},
 	}, outageEnd + contact, 0},
+	{"a record expires while all tables are silent", []step{
+		{0, set(modeSilent, "op", "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "op", "servers")}, {outageEnd + recovery - 100, (*play).putB},
+	}, outageEnd + contact, 0},
+	{"a record expires while all tables are away and a watch stays open", []step{
+		{0, set(modeHolding, "op", "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "op", "servers")}, {outageEnd + recovery - 100, (*play).putB},
+	}, outageEnd + contact, 0},
 	{"a record expires in an outage and is not back", []step{
 		{0, set(modeRefusing, "servers")}, {2_500, (*play).removeB}, {outageEnd, set(modeUp, "servers")},
 	}, outageEnd + recovery, outageEnd + contact},
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -156,8 +156,10 @@
 	// positions are the versions of the rows that have held the manifest in force.
 	positions map[int64]bool
 	// recovered notifies when a read of the manifest succeeds after a failed one,
-	// updated at each change and confirmation.
+	// suspected when one fails and the servers were not read lately, updated at each
+	// change and confirmation.
 	recovered notifier
+	suspected notifier
 	updated   notifier
 }
 
@@ -251,6 +253,7 @@
 	f.onSnapshot = w.replaceServers
 	f.onChange = w.applyServerChanges
 	f.onFailure = w.recordFailure
+	f.suspected = w.suspected.wait
 	f.maxRetryDelay = w.maxServersRetryDelay
 	f.run(ctx)
 }
@@ -273,6 +276,7 @@
 func (w *Watcher) follower(name string, span rows.Range, watchWait clock.Millis) *follower {
 	return &follower{
 		recovered: w.recovered.wait,
+		suspected: func() <-chan struct{} { return nil },
 		store:     w.Store,
 		clock:     w.Clock,
 		log:       w.Log.With("table", name),
@@ -433,11 +437,35 @@
 		if err == nil && failing {
 			w.recovered.notify()
 		}
+		if unanswered(err) {
+			w.suspectOutage()
+		}
 		// Another read before the usual time would find an unreadable manifest again.
 		failing = err != nil && !errors.Is(err, errUnreadable)
 	}
 }
 
+// maxUnconfirmed is the age from which the last answered call for the servers does not show
+// any more that their table is up, in milliseconds.
+const maxUnconfirmed = 1 * clock.Second
+
+// suspectOutage makes the servers be read at once after a failed read of the manifest, since
+// the whole store may be down: a watch of them may stay open through an outage in which
+// records of servers expire.
+func (w *Watcher) suspectOutage() {
+	w.mu.Lock()
+	old := w.Clock.Boot()-w.answeredAt > maxUnconfirmed
+	w.mu.Unlock()
+	if old {
+		w.suspected.notify()
+	}
+}
+
+// unanswered reports whether a read of the manifest failed without a reply of the store.
+func unanswered(err error) bool {
+	return err != nil && !errors.Is(err, errUnreadable) && !errors.Is(err, errUnsettled) && !errors.Is(err, errStale)
+}
+
 // maxServersRetryDelay returns the longest delay between two failed calls for the servers.
 func (w *Watcher) maxServersRetryDelay() clock.Millis {
 	if w.SlowRetry != nil && w.SlowRetry() {
