An empty list of workspaces in a site file accepts no key

Whether a site asks for keys was decided by the length of its list of workspaces.

Fix: a file that has the field asks for keys, as a manifest of the platform does. One without it asks for none, as before; null was refused before.

--- a/internal/share/sites/sites.go
+++ b/internal/share/sites/sites.go
@@ -46,11 +46,13 @@
 // Site is the content of a site file.
 type Site struct {
 	// Version increases with each change of the file's content.
-	Version    int64
-	Host       Host
-	Limits     Limits
-	Services   []Service
-	Routes     []Route
+	Version  int64
+	Host     Host
+	Limits   Limits
+	Services []Service
+	Routes   []Route
+	// Workspaces are the customers whose keys are accepted. It is nil if the file lacks the
+	// field: requests need no key then. An empty list accepts no key.
 	Workspaces []Workspace
 	Servers    []Server
 }
@@ -129,6 +131,9 @@
 func Decode(file string, text []byte) (Site, error) {
 	var s Site
 	index, problems := diag.Decode(file, text, &s)
+	if _, present := index.Positions["Workspaces"]; present && s.Workspaces == nil {
+		s.Workspaces = []Workspace{}
+	}
 	v := &validator{index: index, problems: problems}
 	v.host(s.Host)
 	services := v.services(s.Services)
@@ -254,7 +259,7 @@
 func (s Site) Manifest() *route.Manifest {
 	p := route.Parts{
 		Version: s.Version,
-		Keyed:   len(s.Workspaces) > 0,
+		Keyed:   s.Workspaces != nil,
 		Limits:  route.Limits(s.Limits),
 	}
 	for _, v := range s.Services {
--- a/internal/share/sites/sites_test.go
+++ b/internal/share/sites/sites_test.go
@@ -54,3 +54,35 @@
 	_, err = source.Server(rows.Row{Key: "a", Value: []byte("{")})
 	c.Assert(err, qt.IsNotNil)
 }
+
+// A list of workspaces that has lost its last one must not open what it had closed.
+func TestEmptyListOfWorkspacesOpensNothing(t *testing.T) {
+	withWorkspaces := func(field string) (sites.Site, error) {
+		text := string(sites.Default)
+		from := strings.Index(text, "\"Workspaces\"")
+		to := from + strings.Index(text[from:], "\"Servers\"")
+		return sites.Decode("test", []byte(text[:from]+field+text[to:]))
+	}
+	for _, test := range []struct {
+		workspaces string
+		keyed      bool
+	}{
+		{`"Workspaces": [],`, true},
+		{`"Workspaces": [{"Name": "counter", "Keys": []}],`, true},
+		{"", false},
+	} {
+		t.Run(test.workspaces, func(t *testing.T) {
+			c := qt.New(t)
+			s, err := withWorkspaces(test.workspaces)
+			c.Assert(err, qt.IsNil)
+			m := s.Manifest()
+			c.Check(m.Keyed(), qt.Equals, test.keyed)
+			for _, key := range []string{"", "change-this-key"} {
+				_, ok := m.Workspace(key)
+				c.Check(ok, qt.IsFalse)
+			}
+		})
+	}
+	_, err := withWorkspaces(`"Workspaces": null,`)
+	qt.New(t).Check(err, qt.ErrorMatches, ".*Workspaces: null stands where a list is wanted")
+}
