Hosts beside a reader learn of the end of an outage from it

Cause: only the host that reads for the others has to see the end of an outage at once. But the others skipped it for up to 4 s because its own calls had failed, and they held back their own calls for it also when it had died.

Fix: a host that answers, but has no successful reads, is asked again at the next check, after 0.5 to 1 s. Others call themselves every 1.5 to 4.5 s while such a host answers, and as often as a reader if none does. Readers call every 300 to 900 ms.

--- a/internal/share/mirror/mirror.go
+++ b/internal/share/mirror/mirror.go
@@ -35,8 +35,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
-
 	"siskinsaddle/internal/base/clock"
 	"siskinsaddle/internal/base/logs"
 	"siskinsaddle/internal/plat/rows"
@@ -87,7 +85,7 @@
 	MaxApplyDelay clock.Millis
 
 	reads atomic.Bool
-	// otherReaders is set if other hosts come before this one as readers.
+	// otherReaders is set if a host that comes before this one as a reader answers queries.
 	otherReaders atomic.Bool
 	mu           sync.Mutex
 	backoffs     map[string]backoff
@@ -171,19 +169,22 @@
 	if rank < 0 {
 		rank = len(near)
 	}
-	m.otherReaders.Store(rank > 0)
+	otherReaders := false
 	for _, name := range near[:rank] {
-		if m.query(ctx, name, true) {
+		fresh, answered := m.query(ctx, name, true)
+		if fresh {
 			return name
 		}
+		otherReaders = otherReaders || answered
 	}
+	m.otherReaders.Store(otherReaders)
 	read()
 	m.awaitFresh(ctx)
 	if !m.stale() {
 		return m.Self
 	}
 	for _, name := range append(near[min(rank+1, len(near)):], far...) {
-		if m.query(ctx, name, false) {
+		if fresh, _ := m.query(ctx, name, false); fresh {
 			break
 		}
 	}
@@ -276,12 +277,12 @@
 	return nil
 }
 
-// query queries one host and reports whether this host's state is fresh afterwards. With
-// mustRead, the queried host must read the store itself. The query to the current
-// source is a long poll.
-func (m *Mirror) query(ctx context.Context, name string, mustRead bool) bool {
+// query queries one host and reports whether this host's state is fresh afterwards, and
+// whether the other one answered. With mustRead, the queried host must read the store itself.
+// The query to the current source is a long poll.
+func (m *Mirror) query(ctx context.Context, name string, mustRead bool) (fresh, answered bool) {
 	if m.inBackoff(name) {
-		return false
+		return false, false
 	}
 	v := m.Watcher.View()
 	sent := m.Clock.Boot()
@@ -301,22 +302,22 @@
 	if err == nil {
 		err = m.adopt(name, sent, got)
 	}
-	if err == nil && mustRead && !got.Direct {
-		err = errNotReading
-	}
 	if err != nil {
 		m.recordFailure(name, err)
-		return false
+		return false, false
 	}
 	m.mu.Lock()
 	delete(m.backoffs, name)
 	m.mu.Unlock()
-	return !m.stale()
+	if mustRead && !got.Direct {
+		// It is asked again at the next check, since it may be the first to read the
+		// store after an outage.
+		m.Log.Debug("A host has no successful reads of the store itself.", "host", name)
+		return false, true
+	}
+	return !m.stale(), true
 }
 
-// errNotReading reports a host without recent successful reads of the store.
-var errNotReading = errors.New("the host has no successful reads of the store itself")
-
 // adopt applies the reply to a query that was sent at a time of the boot-time clock.
 func (m *Mirror) adopt(name string, sent clock.Millis, got reply) error {
 	view, confirmed, in, err := got.decode(sent)
--- a/internal/share/mirror/mirror_test.go
+++ b/internal/share/mirror/mirror_test.go
@@ -357,3 +357,37 @@
 	}
 	return false
 }
+
+// The servers' table is away, and a server leaves when all hosts are in touch again. Most hosts of
+// a domain learn of the end of the outage from the one that reads the store, or from the next one
+// if that has died.
+func TestHostsBesideAReaderDropServerThatLeavesAfterOutage(t *testing.T) {
+	const contact, drain = 3 * time.Second, 2 * time.Second
+	for _, readerDies := range []bool{false, true} {
+		t.Run(fmt.Sprint("reader dies ", readerDies), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			g := newGroup(c, "a", "a", "a", "a", "a")
+			g.store.Put("servers", "b", []byte("10.0.0.2:1"))
+			known := func(h *host) bool { return len(h.watcher.View().Servers) == 2 }
+			eventually(func() bool { return g.all(known) && len(g.readers()) == 1 })
+
+			g.store.SetFaults(memdb.Faults{DownTables: map[string]bool{"servers": true}})
+			eventually(func() bool { return g.readers()[0].watcher.View().StoreDown })
+			if readerDies {
+				dead := g.readers()[0]
+				dead.stop()
+				g.hosts = slices.DeleteFunc(g.hosts, func(h *host) bool { return h == dead })
+			}
+			time.Sleep(3500 * time.Millisecond)
+			g.store.SetFaults(memdb.Faults{})
+			time.Sleep(contact + 50*time.Millisecond)
+			c.Assert(g.all(known), qt.IsTrue)
+			g.store.Delete("servers", "b")
+			time.Sleep(drain)
+			for _, h := range g.hosts {
+				c.Check(known(h), qt.IsFalse, qt.Commentf("%s uses the server", h.name))
+			}
+		})
+	}
+}
--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -47,9 +47,9 @@
 	// enterEra checks the era of each reply.
 	enterEra  func(era int64) error
 	onFailure func()
-	// maxRetryDelay returns the longest delay after a failed call, in milliseconds. Jitter
-	// makes it up to half as long again.
-	maxRetryDelay func() clock.Millis
+	// retryDelays returns the delay after the first of several failed calls and the longest
+	// one, in milliseconds. Jitter makes them up to half as long again.
+	retryDelays func() (first, longest clock.Millis)
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
@@ -65,7 +65,7 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	delay := minRetryDelay
+	delay := clock.Millis(0)
 	for ctx.Err() == nil {
 		recovered := f.recovered()
 		began := f.clock.Now()
@@ -74,7 +74,7 @@
 			return
 		}
 		if err == nil {
-			delay = minRetryDelay
+			delay = 0
 			if f.failing {
 				f.failing = false
 				f.log.Info("The store answers again.")
@@ -90,6 +90,8 @@
 			f.failing = true
 			f.log.Warn("The store does not answer.", "err", err)
 		}
+		first, longest := f.retryDelays()
+		delay = min(max(2*delay, first), longest)
 		// Jitter of 50% spreads the retries of hosts that failed at the same time.
 		jittered := delay/2 + clock.Millis(rand.Int64N(int64(delay)))
 		jittered = max(jittered-(f.clock.Now()-began), retryPause)
@@ -98,7 +100,6 @@
 		case <-recovered:
 		case <-f.clock.After(jittered):
 		}
-		delay = min(2*delay, f.maxRetryDelay())
 	}
 }
 
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -254,7 +254,7 @@
 	f.onChange = w.applyServerChanges
 	f.onFailure = w.recordFailure
 	f.suspected = w.suspected.wait
-	f.maxRetryDelay = w.maxServersRetryDelay
+	f.retryDelays = w.serversRetryDelays
 	f.run(ctx)
 }
 
@@ -285,7 +285,7 @@
 		enterEra:  w.enterEra,
 		onFailure: func() {},
 
-		maxRetryDelay: func() clock.Millis { return maxRetryDelay },
+		retryDelays: func() (first, longest clock.Millis) { return minRetryDelay, maxRetryDelay },
 	}
 }
 
@@ -466,12 +466,12 @@
 	return err != nil && !errors.Is(err, errUnreadable) && !errors.Is(err, errUnsettled) && !errors.Is(err, errStale)
 }
 
-// maxServersRetryDelay returns the longest delay between two failed calls for the servers.
-func (w *Watcher) maxServersRetryDelay() clock.Millis {
+// serversRetryDelays returns the first and the longest delay after failed calls for the servers.
+func (w *Watcher) serversRetryDelays() (first, longest clock.Millis) {
 	if w.SlowRetry != nil && w.SlowRetry() {
-		return slowServersRetryDelay
+		return slowServersRetryDelay, slowServersRetryDelay
 	}
-	return serversRetryDelay
+	return minRetryDelay, serversRetryDelay
 }
 
 func (w *Watcher) stopReading() {
@@ -498,10 +498,11 @@
 // The longest delays between two failed calls for the servers, in milliseconds; jitter makes
 // them up to half as long again. A host learns of the end of an outage with its next call and
 // then keeps servers without a record for recoveryGrace. Both have to be over 3 s after the
-// outage, since from then on no server that has left may get a request.
+// outage, since from then on no server that has left may get a request. Where another host
+// reads the store too, this one learns of the end from it.
 const (
-	serversRetryDelay     = 400 * clock.Millis(1)
-	slowServersRetryDelay = 600 * clock.Millis(1)
+	serversRetryDelay     = 600 * clock.Millis(1)
+	slowServersRetryDelay = 3_000 * clock.Millis(1)
 )
 
 func (w *Watcher) retryWait() clock.Millis {
