A manifest without workspaces accepts no key

Cause: a manifest without the list requires no key, so keys were not looked at.

Fix: a request with a key is checked under any manifest, on routes that are not public. Without workspaces no key is accepted, and a request without one is served as before.

TestManifestWithoutWorkspacesAcceptsNoKey failed before.

--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -181,6 +181,27 @@
 	c.Assert(ask("/open/", ""), qt.Equals, 503)
 }
 
+// A manifest that lost its last workspace may lack the list of them. Keys that it withdrew, and
+// keys that never were, open nothing then.
+func TestManifestWithoutWorkspacesAcceptsNoKey(t *testing.T) {
+	c, r := start(t, 1, false)
+	r.keyless.Store(true)
+	ask := func(path, keyField string) int {
+		conn := r.dial()
+		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: k\r\n%s\r\n", path, keyField)
+		c.Assert(err, qt.IsNil)
+		return readResponse(c, bufio.NewReader(conn), "GET").status
+	}
+	c.Check(ask("/lookup/", "Key: right\r\n"), qt.Equals, 401)
+	c.Check(ask("/lookup/", "Key: wrong\r\n"), qt.Equals, 401)
+	c.Check(ask("/lookup/", ""), qt.Equals, 200)
+	c.Check(ask("/lookup/", "Key:\r\n"), qt.Equals, 200)
+	c.Check(ask("/open/", "Key: wrong\r\n"), qt.Equals, 200)
+	r.manifestAge.Store(4_001)
+	c.Check(ask("/lookup/", "Key: right\r\n"), qt.Equals, 503)
+	c.Check(ask("/lookup/", ""), qt.Equals, 200)
+}
+
 func TestRepeatsStayWithinBudget(t *testing.T) {
 	c, r := start(t, 2, false)
 	r.servers[0].SetDefault(origin.Fail)
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -65,6 +65,8 @@
 	log            logBuffer
 	manifestAge    atomic.Int64
 	serversUnknown atomic.Bool
+	// keyless is set if the manifest has no workspaces and requires no key.
+	keyless atomic.Bool
 }
 
 // logBuffer collects log lines.
@@ -85,7 +87,12 @@
 	return b.text.String()
 }
 
-var manifest = route.NewManifest(route.Parts{
+var (
+	manifest        = route.NewManifest(manifestParts)
+	keylessManifest = route.NewManifest(route.Parts{Version: 4, Routes: manifestParts.Routes, Services: manifestParts.Services})
+)
+
+var manifestParts = route.Parts{
 	Version: 3,
 	Routes: []route.Route{
 		{Name: "lookup", Host: "a.example", Prefix: "/lookup/", Kind: route.KindSafe, TimeLimit: 2_000, Target: 100, MaxServers: 2, Shares: []route.Share{{Service: "app", Weight: 1}}},
@@ -99,7 +106,7 @@
 	Services:   []route.Service{{Name: "app"}},
 	Workspaces: []route.Workspace{{Name: "stall", Keys: []string{"right"}}},
 	Keyed:      true,
-})
+}
 
 func newHarness(c *qt.C, servers int, stream bool) *harness {
 	r := &harness{c: c, count: count.NewSet()}
@@ -111,7 +118,11 @@
 		Fields: fields,
 		Clock:  clock.System(),
 		View: func() watch.View {
-			return watch.View{Manifest: manifest, Servers: r.serverList(), ServersKnown: !r.serversUnknown.Load()}
+			v := watch.View{Manifest: manifest, Servers: r.serverList(), ServersKnown: !r.serversUnknown.Load()}
+			if r.keyless.Load() {
+				v.Manifest = keylessManifest
+			}
+			return v
 		},
 		Age:             func(clock.Millis) clock.Millis { return clock.Millis(r.manifestAge.Load()) },
 		Client:          &wire.Client{DialTimeout: 500, ProgressTimeout: 5_000, Faults: &reply.Faults{Log: l, Count: r.count}},
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -307,15 +307,17 @@
 
 // authenticate checks the key of a request and sets its workspace and tier. Without
 // a recent confirmation of the manifest it refuses all keys, because some may have
-// been revoked.
+// been revoked. A manifest without workspaces requires no key, but accepts none: a key may be
+// one of a workspace that an earlier manifest had.
 func (p *Proxy) authenticate(j *job, m *route.Manifest, confirmed bool) *refuse.Refusal {
-	if !m.Keyed() || j.route.Public {
+	key := j.request.Header(p.Fields.Key)
+	if j.route.Public || (!m.Keyed() && key == "") {
 		return nil
 	}
 	if !confirmed {
 		return refuse.New(refuse.ReasonUnconfirmed).WithRetryAfter(notReadyWait)
 	}
-	w, ok := m.Workspace(j.request.Header(p.Fields.Key))
+	w, ok := m.Workspace(key)
 	if !ok {
 		return refuse.New(refuse.ReasonWrongKey)
 	}
