--- a/internal/share/mirror/mirror.go
+++ b/internal/share/mirror/mirror.go
@@ -312,7 +312,7 @@
 	if mustRead && !got.Direct {
 		// It is asked again at the next check, since it may be the first to read the
 		// store after an outage.
-		m.Log.Debug("A host has no successful reads of the store itself.", "host", name)
+		m.Log.Info("A host has no successful reads of the store itself; it is asked again soon.", "host", name)
 		return false, true
 	}
 	return !m.stale(), true
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -497,9 +497,9 @@
 
 // The longest delays between two failed calls for the servers, in milliseconds; jitter makes
 // them up to half as long again. A host learns of the end of an outage with its next call and
-// then keeps servers without a record for recoveryGrace. Both have to be over 3 s after the
-// outage, since from then on no server that has left may get a request. Where another host
-// reads the store too, this one learns of the end from it.
+// then keeps servers without a record for recoveryGrace. Delay and grace together must end
+// within 3 s of the outage: from then on no server that has left may get a request. Where
+// another host reads the store too, this one learns of the end from it.
 const (
 	serversRetryDelay     = 600 * clock.Millis(1)
 	slowServersRetryDelay = 3_000 * clock.Millis(1)
