The first retry of a failed call for the servers is early on every host

Hosts beside a reader waited 1.5 to 4.5 s after the first failed call for the servers, as after later ones. One failed call is mostly that of a connection, or of a restore of the store, and no outage.

--- a/internal/share/watch/follow.go
+++ b/internal/share/watch/follow.go
@@ -47,9 +47,9 @@
 	// enterEra checks the era of each reply.
 	enterEra  func(era int64) error
 	onFailure func()
-	// retryDelays returns the delay after the first of several failed calls and the longest
-	// one, in milliseconds. Jitter makes them up to half as long again.
-	retryDelays func() (first, longest clock.Millis)
+	// retryDelay returns the delay after a failed call from that after the failed call before,
+	// 0 if there is none, in milliseconds. Jitter makes it up to half as long again.
+	retryDelay func(previous clock.Millis) clock.Millis
 	// recovered returns a channel that closes when another caller of the store
 	// succeeds after a failure.
 	recovered func() <-chan struct{}
@@ -90,8 +90,7 @@
 			f.failing = true
 			f.log.Warn("The store does not answer.", "err", err)
 		}
-		first, longest := f.retryDelays()
-		delay = min(max(2*delay, first), longest)
+		delay = f.retryDelay(delay)
 		// Jitter of 50% spreads the retries of hosts that failed at the same time.
 		jittered := delay/2 + clock.Millis(rand.Int64N(int64(delay)))
 		jittered = max(jittered-(f.clock.Now()-began), retryPause)
@@ -103,6 +102,11 @@
 	}
 }
 
+// backOff returns twice the previous delay, from minRetryDelay up to a longest one.
+func backOff(previous, longest clock.Millis) clock.Millis {
+	return min(max(2*previous, minRetryDelay), longest)
+}
+
 // step makes one call to the store and passes its reply to the callbacks.
 func (f *follower) step(ctx context.Context) error {
 	if !f.hasSnapshot {
--- a/internal/share/watch/watch.go
+++ b/internal/share/watch/watch.go
@@ -254,7 +254,7 @@
 	f.onChange = w.applyServerChanges
 	f.onFailure = w.recordFailure
 	f.suspected = w.suspected.wait
-	f.retryDelays = w.serversRetryDelays
+	f.retryDelay = w.serversRetryDelay
 	f.run(ctx)
 }
 
@@ -285,7 +285,7 @@
 		enterEra:  w.enterEra,
 		onFailure: func() {},
 
-		retryDelays: func() (first, longest clock.Millis) { return minRetryDelay, maxRetryDelay },
+		retryDelay: func(previous clock.Millis) clock.Millis { return backOff(previous, maxRetryDelay) },
 	}
 }
 
@@ -466,12 +466,13 @@
 	return err != nil && !errors.Is(err, errUnreadable) && !errors.Is(err, errUnsettled) && !errors.Is(err, errStale)
 }
 
-// serversRetryDelays returns the first and the longest delay after failed calls for the servers.
-func (w *Watcher) serversRetryDelays() (first, longest clock.Millis) {
-	if w.SlowRetry != nil && w.SlowRetry() {
-		return slowServersRetryDelay, slowServersRetryDelay
+// serversRetryDelay returns the delay after a failed call for the servers, from the previous one.
+// The first retry is early in any case, as most single failures are those of a connection.
+func (w *Watcher) serversRetryDelay(previous clock.Millis) clock.Millis {
+	if previous > 0 && w.SlowRetry != nil && w.SlowRetry() {
+		return slowServersRetryDelay
 	}
-	return minRetryDelay, serversRetryDelay
+	return backOff(previous, maxServersRetryDelay)
 }
 
 func (w *Watcher) stopReading() {
@@ -501,7 +502,7 @@
 // within 3 s of the outage: from then on no server that has left may get a request. Where
 // another host reads the store too, this one learns of the end from it.
 const (
-	serversRetryDelay     = 600 * clock.Millis(1)
+	maxServersRetryDelay  = 600 * clock.Millis(1)
 	slowServersRetryDelay = 3_000 * clock.Millis(1)
 )
 
