--- a/internal/serve/proxy/calls_test.go
+++ b/internal/serve/proxy/calls_test.go
@@ -158,12 +158,7 @@
 
 func TestKeyAuthentication(t *testing.T) {
 	c, r := start(t, 1, false)
-	ask := func(path, key string) int {
-		conn := r.dial()
-		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: k\r\nKey: %s\r\n\r\n", path, key)
-		c.Assert(err, qt.IsNil)
-		return readResponse(c, bufio.NewReader(conn), "GET").status
-	}
+	ask := func(path, key string) int { return r.statusOf(path, "Key: "+key+"\r\n") }
 	c.Assert(ask("/lookup/", "right"), qt.Equals, 200)
 	c.Assert(ask("/lookup/", "wrong"), qt.Equals, 401)
 	c.Assert(ask("/open/", ""), qt.Equals, 200)
@@ -186,20 +181,14 @@
 func TestManifestWithoutWorkspacesAcceptsNoKey(t *testing.T) {
 	c, r := start(t, 1, false)
 	r.keyless.Store(true)
-	ask := func(path, keyField string) int {
-		conn := r.dial()
-		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: k\r\n%s\r\n", path, keyField)
-		c.Assert(err, qt.IsNil)
-		return readResponse(c, bufio.NewReader(conn), "GET").status
-	}
-	c.Check(ask("/lookup/", "Key: right\r\n"), qt.Equals, 401)
-	c.Check(ask("/lookup/", "Key: wrong\r\n"), qt.Equals, 401)
-	c.Check(ask("/lookup/", ""), qt.Equals, 200)
-	c.Check(ask("/lookup/", "Key:\r\n"), qt.Equals, 200)
-	c.Check(ask("/open/", "Key: wrong\r\n"), qt.Equals, 200)
+	c.Check(r.statusOf("/lookup/", "Key: right\r\n"), qt.Equals, 401)
+	c.Check(r.statusOf("/lookup/", "Key: wrong\r\n"), qt.Equals, 401)
+	c.Check(r.statusOf("/lookup/", ""), qt.Equals, 200)
+	c.Check(r.statusOf("/lookup/", "Key:\r\n"), qt.Equals, 200)
+	c.Check(r.statusOf("/open/", "Key: wrong\r\n"), qt.Equals, 200)
 	r.manifestAge.Store(4_001)
-	c.Check(ask("/lookup/", "Key: right\r\n"), qt.Equals, 503)
-	c.Check(ask("/lookup/", ""), qt.Equals, 200)
+	c.Check(r.statusOf("/lookup/", "Key: right\r\n"), qt.Equals, 503)
+	c.Check(r.statusOf("/lookup/", ""), qt.Equals, 200)
 }
 
 func TestRepeatsStayWithinBudget(t *testing.T) {
--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -227,6 +227,15 @@
 	return readResponse(r.c, bufio.NewReader(conn), method)
 }
 
+// statusOf sends a GET request with the given header lines and no others but its id, and returns
+// the status of the response.
+func (r *harness) statusOf(path, fields string) int {
+	conn := r.dial()
+	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: k\r\n%s\r\n", path, fields)
+	r.c.Assert(err, qt.IsNil)
+	return readResponse(r.c, bufio.NewReader(conn), "GET").status
+}
+
 func readResponse(_ *qt.C, reader *bufio.Reader, method string) response {
 	received, err := http.ReadResponse(reader, &http.Request{Method: method})
 	if err != nil {
